--- /dev/null
+++ b/include/heatherchute/Runtime.h
@@ -0,0 +1,155 @@
+/// A thread for each duty: each runs an event loop with fibers inside and takes typed messages
+/// from other duties through bounded rings.
+#pragma once
+
+#include "heatherchute/Support.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/future.hpp>
+#include <boost/lockfree/queue.hpp>
+#include <boost/system/error_code.hpp>
+#include <functional>
+#include <memory>
+#include <thread>
+
+namespace heatherchute {
+
+/// Bounded ring for many producers and consumers. A full ring refuses; it never blocks or grows.
+template <typename T>
+class Ring {
+public:
+    /// `capacity` is at most 65,000 messages.
+    explicit Ring(std::size_t capacity)
+        : m_queue(capacity)
+    {
+    }
+    Ring(const Ring&) = delete;
+    Ring& operator=(const Ring&) = delete;
+    ~Ring()
+    {
+        while (tryPop()) { }
+    }
+
+    /// False when the ring is full; `message` is then as it was.
+    bool tryPush(T& message)
+    {
+        auto node = std::make_unique<T>(std::move(message));
+        if (!m_queue.bounded_push(node.get())) {
+            message = std::move(*node);
+            return false;
+        }
+        (void)node.release();
+        return true;
+    }
+
+    std::optional<T> tryPop()
+    {
+        T* node = nullptr;
+        if (!m_queue.pop(node))
+            return std::nullopt;
+        const std::unique_ptr<T> owned(node);
+        return std::move(*owned);
+    }
+
+private:
+    boost::lockfree::queue<T*> m_queue;
+};
+
+/// One thread with an event loop. Handlers run on the loop; fibers run between them.
+class Duty {
+public:
+    explicit Duty(std::string name);
+    Duty(const Duty&) = delete;
+    Duty& operator=(const Duty&) = delete;
+    ~Duty();
+
+    boost::asio::io_context& io() { return m_io; }
+    /// Runs `body` as a new fiber on this duty. Call it from any thread.
+    void spawn(std::function<void()> body);
+    /// Ends the loop and joins the thread. Fibers still waiting are dropped with the process.
+    void stop();
+
+private:
+    void run();
+
+    std::string m_name;
+    boost::asio::io_context m_io;
+    std::thread m_thread;
+    std::atomic<bool> m_stopping { false };
+};
+
+/// Bounded ring whose messages are handled one by one on a duty's thread, outside any fiber.
+template <typename Message>
+class Mailbox {
+public:
+    Mailbox(Duty& duty, std::size_t capacity, std::function<void(Message&&)> handler)
+        : m_duty(duty)
+        , m_ring(capacity)
+        , m_handler(std::move(handler))
+    {
+    }
+
+    /// False when the ring is full; `message` is then as it was.
+    bool push(Message& message)
+    {
+        if (!m_ring.tryPush(message))
+            return false;
+        if (!m_scheduled.exchange(true))
+            boost::asio::post(m_duty.io(), [this] { drain(); });
+        return true;
+    }
+    bool push(Message&& message) { return push(message); }
+
+private:
+    /// Messages handled before the loop gets another turn.
+    static constexpr int batchSize = 256;
+
+    void drain()
+    {
+        m_scheduled.store(false);
+        for (int i = 0; i < batchSize; ++i) {
+            auto message = m_ring.tryPop();
+            if (!message)
+                return;
+            m_handler(std::move(*message));
+        }
+        if (!m_scheduled.exchange(true))
+            boost::asio::post(m_duty.io(), [this] { drain(); });
+    }
+
+    Duty& m_duty;
+    Ring<Message> m_ring;
+    std::function<void(Message&&)> m_handler;
+    std::atomic<bool> m_scheduled { false };
+};
+
+/// Result of one asynchronous operation.
+struct IoResult {
+    boost::system::error_code error;
+    std::size_t bytes = 0;
+};
+
+/// Starts an asynchronous operation and suspends the calling fiber until it ends. `start` gets
+/// the completion handler to pass on. Only for fibers of a duty.
+template <typename Start>
+IoResult awaitIo(Start&& start)
+{
+    boost::fibers::promise<IoResult> promise;
+    auto future = promise.get_future();
+    start([&promise](const boost::system::error_code& error, std::size_t bytes = 0) {
+        promise.set_value({ error, bytes });
+    });
+    return future.get();
+}
+
+/// Suspends the calling fiber.
+void sleepFiber(boost::asio::io_context& io, Duration duration);
+
+/// Waits for SIGTERM and SIGINT with a fiber on `duty`; calls `onSignal(count)` for each.
+void handleStopSignals(Duty& duty, std::function<void(int)> onSignal);
+
+} // namespace heatherchute
--- /dev/null
+++ b/lib/Http/Client.cpp
@@ -0,0 +1,205 @@
+#include "heatherchute/Http.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+
+namespace heatherchute {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+    struct Connection {
+        explicit Connection(asio::io_context& io)
+            : stream(io)
+        {
+        }
+
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        TimePoint idleSince;
+    };
+
+    using ConnectionPointer = std::unique_ptr<Connection>;
+
+    /// Idle connections kept for one address.
+    constexpr std::size_t maxIdlePerAddress = 16;
+    /// Servers drop idle connections after a minute; ours go earlier so that none is reused late.
+    constexpr Seconds maxIdleTime { 20 };
+
+    /// True when the peer has closed or sent bytes nobody asked for.
+    bool isStale(Connection& connection)
+    {
+        if (Clock::now() - connection.idleSince > maxIdleTime || connection.buffer.size() > 0)
+            return true;
+        auto& socket = connection.stream.socket();
+        boost::system::error_code error;
+        socket.non_blocking(true, error);
+        char byte = 0;
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error != asio::error::would_block;
+    }
+
+    http::request<http::string_body> toBeast(const Address& address, const HttpRequest& request)
+    {
+        http::request<http::string_body> message;
+        message.version(11);
+        message.method_string(request.method);
+        message.target(request.target);
+        message.set(http::field::host, addressText(address));
+        for (const auto& header : request.headers) {
+            if (!isHopHeader(header.name))
+                message.insert(header.name, header.value);
+        }
+        message.body() = request.body;
+        message.keep_alive(true);
+        if (!request.body.empty() || request.method == "POST" || request.method == "PUT")
+            message.content_length(request.body.size());
+        return message;
+    }
+
+    HttpResponse toResponse(http::response<http::string_body>&& message)
+    {
+        HttpResponse response;
+        response.status = message.result_int();
+        for (const auto& field : message)
+            response.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        response.body = std::move(message.body());
+        return response;
+    }
+
+} // namespace
+
+struct HttpClient::State {
+    explicit State(Duty& clientDuty)
+        : duty(clientDuty)
+    {
+    }
+
+    ConnectionPointer takeIdle(const Address& address);
+    void keepIdle(const Address& address, ConnectionPointer connection);
+    ConnectionPointer connect(const Address& address, Duration timeout);
+
+    Duty& duty;
+    std::map<Address, std::vector<ConnectionPointer>> idle;
+};
+
+ConnectionPointer HttpClient::State::takeIdle(const Address& address)
+{
+    auto& connections = idle[address];
+    while (!connections.empty()) {
+        auto connection = std::move(connections.back());
+        connections.pop_back();
+        if (!isStale(*connection))
+            return connection;
+    }
+    return nullptr;
+}
+
+void HttpClient::State::keepIdle(const Address& address, ConnectionPointer connection)
+{
+    auto& connections = idle[address];
+    connection->idleSince = Clock::now();
+    connection->stream.expires_never();
+    if (connections.size() < maxIdlePerAddress)
+        connections.push_back(std::move(connection));
+}
+
+ConnectionPointer HttpClient::State::connect(const Address& address, Duration timeout)
+{
+    auto connection = std::make_unique<Connection>(duty.io());
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+    connection->stream.expires_after(timeout);
+    const auto connected = awaitIo([&](auto handler) {
+        connection->stream.async_connect(endpoint, std::move(handler));
+    });
+    if (connected.error)
+        return nullptr;
+    boost::system::error_code ignored;
+    connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    return connection;
+}
+
+HttpClient::HttpClient(Duty& duty)
+    : m_state(std::make_unique<State>(duty))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+Result<HttpResponse> HttpClient::call(const Address& address, const HttpRequest& request, const HttpCallOptions& options)
+{
+    const auto deadline = Clock::now() + options.timeout;
+    auto connection = m_state->takeIdle(address);
+    if (!connection)
+        connection = m_state->connect(address, options.timeout);
+    if (!connection)
+        return ErrorKind::NoEndpoint;
+
+    auto& stream = connection->stream;
+    const auto message = toBeast(address, request);
+    stream.expires_at(deadline);
+    const auto written = awaitIo([&](auto handler) { http::async_write(stream, message, std::move(handler)); });
+    // A peer that saw part of a request may answer it, so no byte on the wire means "not run".
+    if (written.error)
+        return written.bytes == 0 ? ErrorKind::NoEndpoint : ErrorKind::OutcomeUnknown;
+
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(options.maxBodyBytes);
+    if (request.method == "HEAD")
+        parser.skip(true);
+    const auto read = awaitIo([&](auto handler) { http::async_read(stream, connection->buffer, parser, std::move(handler)); });
+    if (read.error)
+        return parser.is_header_done() ? ErrorKind::EndpointFailed : ErrorKind::OutcomeUnknown;
+    const bool keepAlive = parser.keep_alive();
+    auto response = toResponse(parser.release());
+    if (keepAlive)
+        m_state->keepIdle(address, std::move(connection));
+    return response;
+}
+
+std::error_code HttpClient::stream(const Address& address, const HttpRequest& request, Milliseconds idleTimeout,
+    const std::function<bool(std::string_view)>& onLine)
+{
+    auto connection = m_state->connect(address, idleTimeout);
+    if (!connection)
+        return ErrorKind::NoEndpoint;
+    auto& stream = connection->stream;
+    const auto message = toBeast(address, request);
+    stream.expires_after(idleTimeout);
+    const auto written = awaitIo([&](auto handler) { http::async_write(stream, message, std::move(handler)); });
+    if (written.error)
+        return ErrorKind::NoEndpoint;
+
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    stream.expires_after(idleTimeout);
+    const auto head = awaitIo([&](auto handler) { http::async_read_header(stream, connection->buffer, parser, std::move(handler)); });
+    if (head.error || parser.get().result_int() != 200)
+        return ErrorKind::StoreUnavailable;
+
+    std::string pending;
+    std::array<char, 8192> chunk {};
+    while (!parser.is_done()) {
+        parser.get().body().data = chunk.data();
+        parser.get().body().size = chunk.size();
+        stream.expires_after(idleTimeout);
+        const auto read = awaitIo([&](auto handler) { http::async_read_some(stream, connection->buffer, parser, std::move(handler)); });
+        if (read.error && read.error != http::error::need_buffer)
+            return ErrorKind::StoreUnavailable;
+        pending.append(chunk.data(), chunk.size() - parser.get().body().size);
+        for (auto end = pending.find('\n'); end != std::string::npos; end = pending.find('\n')) {
+            if (!onLine(std::string_view(pending).substr(0, end)))
+                return {};
+            pending.erase(0, end + 1);
+        }
+    }
+    return ErrorKind::StoreUnavailable;
+}
+
+} // namespace heatherchute
--- /dev/null
+++ b/lib/Jobs/Reports.cpp
@@ -0,0 +1,280 @@
+/// What owners say of tasks, what callers ask of jobs, and what follows.
+#include "heatherchute/Jobs.h"
+
+#include <algorithm>
+
+namespace heatherchute {
+
+/// Attempts of one task that may fail before its job does.
+static constexpr std::uint32_t maxFailures = 3;
+static constexpr Milliseconds retryAfterFailure { 500 };
+static constexpr std::size_t maxAvoidedVms = 16;
+
+void JobDesk::changed(Job& job, JobActions& actions)
+{
+    ++job.version;
+    actions.push_back(JobChanged { job.spec.id });
+}
+
+/// Index of the task that an attempt's name stands for.
+static std::uint32_t indexOf(const std::string& task, const std::string& job)
+{
+    return static_cast<std::uint32_t>(std::strtoul(task.c_str() + job.size() + 1, nullptr, 10));
+}
+
+TaskAcks JobDesk::onReports(const std::string&, const TaskReports& reports, TimePoint now, JobActions& actions)
+{
+    TaskAcks acks;
+    const auto found = m_shards.find(reports.shard);
+    if (found == m_shards.end() || !isHome(reports.shard))
+        return acks;
+    auto& shard = found->second;
+    for (const auto& report : reports.reports) {
+        const auto job = shard.jobs.find(jobOf(report.task));
+        // A job that is long finished and forgotten needs nothing more.
+        if (job == shard.jobs.end() || applyReport(shard, job->second, report, now, actions))
+            acks.tasks.push_back({ report.task, report.state });
+    }
+    return acks;
+}
+
+bool JobDesk::applyReport(Shard& shard, Job& job, const TaskReport& report, TimePoint now, JobActions& actions)
+{
+    const auto state = taskStateFromName(report.state);
+    const auto index = indexOf(report.task, job.spec.id);
+    if (!state || index >= job.slots.size())
+        return true;
+    auto& slot = job.slots[index];
+    if (slot.state == SlotState::Done)
+        return true;
+    const bool isCurrent = (slot.state == SlotState::Committed || slot.state == SlotState::Running) && slot.attempt.id == report.task;
+    if (!isCurrent) {
+        adoptStray(shard, job, index, report, *state, now, actions);
+        return !(*state == TaskState::Succeeded && slot.succeeded);
+    }
+    job.observed = largerOf(job.observed, report.used);
+    if (!isFinal(*state)) {
+        if (*state == TaskState::Running && slot.state != SlotState::Running) {
+            slot.state = SlotState::Running;
+            changed(job, actions);
+        }
+        return *state == TaskState::Running;
+    }
+    if (*state == TaskState::Succeeded) {
+        // Acknowledged only when a report comes again after the record is written.
+        if (!slot.succeeded)
+            append(shard, TaskDoneRecord { job.spec.id, index });
+        slot.succeeded = true;
+        return false;
+    }
+    slotEnded(shard, job, slot, *state, report, now, actions);
+    return true;
+}
+
+/// An attempt that an earlier home started.
+void JobDesk::adoptStray(Shard& shard, Job& job, std::uint32_t index, const TaskReport& report, TaskState state, TimePoint now, JobActions& actions)
+{
+    auto& slot = job.slots[index];
+    if (slot.state != SlotState::Pending || (isFinal(state) && state != TaskState::Succeeded))
+        return;
+    if (isFinal(job.state)) {
+        if (!isFinal(state))
+            actions.push_back(SendToOwner { {}, StopTasks { shard.name, shard.epoch, { report.task } } });
+        return;
+    }
+    if (state == TaskState::Succeeded) {
+        if (!slot.succeeded)
+            append(shard, TaskDoneRecord { job.spec.id, index });
+        slot.succeeded = true;
+        return;
+    }
+    slot.state = SlotState::Running;
+    slot.attempt = { report.task, job.spec.id, index, shard.name, shard.epoch, report.vm, job.spec.perTask, job.spec.work };
+    slot.queryAt = now + Seconds(60);
+    if (shard.phase == Phase::Active)
+        m_limits.adopt(job.spec.team, holderOf(shard), 1);
+    if (job.state == JobState::Waiting) {
+        job.state = JobState::Running;
+        job.startedAt = now;
+    }
+    changed(job, actions);
+}
+
+void JobDesk::freeSlot(Shard& shard, Job& job, TaskSlot& slot)
+{
+    const bool wasActive = slot.state == SlotState::Committed || slot.state == SlotState::Running;
+    slot.state = SlotState::Pending;
+    slot.succeeded = false;
+    // Before a shard is active its use of the limit has not been counted yet.
+    if (wasActive && (shard.phase == Phase::Active || shard.phase == Phase::Closing))
+        m_limits.give(job.spec.team, holderOf(shard), 1);
+}
+
+void JobDesk::slotEnded(Shard& shard, Job& job, TaskSlot& slot, TaskState state, const TaskReport& report, TimePoint now, JobActions& actions)
+{
+    freeSlot(shard, job, slot);
+    changed(job, actions);
+    if (isFinal(job.state))
+        return;
+    if (state == TaskState::Failed) {
+        ++slot.failures;
+        if (job.failedOn.size() < maxAvoidedVms)
+            job.failedOn.push_back(report.vm);
+        if (slot.failures >= maxFailures) {
+            finish(shard, job, JobState::Failed, "a task failed " + std::to_string(maxFailures) + " times: " + report.detail, 0, actions);
+            return;
+        }
+        job.nextTry = now + retryAfterFailure;
+    }
+    job.reason = "a task " + report.state + ": " + report.detail;
+    if (job.spec.gang)
+        breakGang(shard, job, actions);
+    if (job.active() == 0 && job.state == JobState::Running)
+        job.state = JobState::Waiting;
+}
+
+void JobDesk::breakGang(Shard& shard, Job& job, JobActions& actions)
+{
+    if (job.active() > 0) {
+        if (!job.gangBroken)
+            stopActive(shard, job, actions);
+        job.gangBroken = true;
+        return;
+    }
+    // All have ended: the gang starts again as one.
+    job.gangBroken = false;
+    for (auto& slot : job.slots) {
+        if (slot.state != SlotState::Done)
+            slot.state = SlotState::Pending;
+    }
+}
+
+void JobDesk::stopActive(Shard& shard, Job& job, JobActions& actions)
+{
+    StopTasks stop { shard.name, shard.epoch, {} };
+    for (const auto& slot : job.slots) {
+        if (slot.state == SlotState::Committed || slot.state == SlotState::Running)
+            stop.tasks.push_back(slot.attempt.id);
+    }
+    if (!stop.tasks.empty())
+        actions.push_back(SendToOwner { {}, std::move(stop) });
+}
+
+void JobDesk::finish(Shard& shard, Job& job, JobState state, std::string detail, std::uint64_t token, JobActions&)
+{
+    append(shard, JobStateRecord { job.spec.id, std::string(jobStateName(state)), std::move(detail) }, token);
+}
+
+void JobDesk::onVmOwned(const std::string& from, const VmOwned& notice, TimePoint, JobActions& actions)
+{
+    for (auto& [name, shard] : m_shards) {
+        if (shard.phase == Phase::Reconciling) {
+            actions.push_back(SendToOwner { from, HomeClaim { name, shard.epoch } });
+            continue;
+        }
+        TaskQuery query { name, shard.epoch, notice.vm, {} };
+        for (const auto& [id, job] : shard.jobs) {
+            for (const auto& slot : job.slots) {
+                const bool isActive = slot.state == SlotState::Committed || slot.state == SlotState::Running;
+                if (isActive && slot.attempt.vm == notice.vm)
+                    query.tasks.push_back(slot.attempt.id);
+            }
+        }
+        if (!query.tasks.empty())
+            actions.push_back(SendToOwner { from, std::move(query) });
+    }
+}
+
+void JobDesk::onVmLost(const VmLost& notice, TimePoint now, JobActions& actions)
+{
+    for (auto& [name, shard] : m_shards) {
+        if (shard.phase == Phase::Reconciling) {
+            shard.heardVms.insert(notice.vm);
+            shard.unheardVms.erase(notice.vm);
+            checkReconciled(shard);
+        }
+        for (auto& [id, job] : shard.jobs) {
+            for (auto& slot : job.slots) {
+                const bool isActive = slot.state == SlotState::Committed || slot.state == SlotState::Running;
+                if (!isActive || slot.attempt.vm != notice.vm || slot.succeeded)
+                    continue;
+                const TaskReport report { slot.attempt.id, notice.vm, std::string(taskStateName(TaskState::Lost)), "its VM is gone", {} };
+                slotEnded(shard, job, slot, TaskState::Lost, report, now, actions);
+            }
+        }
+    }
+}
+
+Result<JobSpec> JobDesk::submit(const std::string& name, JobSpec spec, std::uint64_t token, TimePoint now, JobActions&)
+{
+    const auto found = m_shards.find(name);
+    if (found == m_shards.end() || !isHome(name))
+        return ErrorKind::HomeUnreachable;
+    auto& shard = found->second;
+    const auto earlier = shard.jobOfKey.find(spec.idempotency);
+    if (!spec.idempotency.empty() && earlier != shard.jobOfKey.end()) {
+        const auto& job = shard.jobs.at(earlier->second);
+        // Written again under this caller's token: it answers once the first is durable too.
+        append(shard, AcceptRecord { job.spec }, token);
+        return job.spec;
+    }
+    spec.id = name + "." + std::to_string(shard.nextNumber++);
+    auto& job = shard.jobs[spec.id];
+    job.spec = spec;
+    job.slots.resize(spec.tasks);
+    job.acceptedAt = now;
+    if (!spec.idempotency.empty())
+        shard.jobOfKey[spec.idempotency] = spec.id;
+    append(shard, AcceptRecord { spec }, token);
+    return spec;
+}
+
+Result<void> JobDesk::cancel(const std::string& id, std::uint64_t token, TimePoint, JobActions& actions)
+{
+    const auto found = m_shards.find(shardOf(id));
+    if (found == m_shards.end() || !isHome(shardOf(id)))
+        return ErrorKind::HomeUnreachable;
+    const auto job = found->second.jobs.find(id);
+    if (job == found->second.jobs.end())
+        return ErrorKind::NotFound;
+    if (isFinal(job->second.state)) {
+        actions.push_back(Durable { token });
+        return boost::outcome_v2::success();
+    }
+    finish(found->second, job->second, JobState::Cancelled, "cancelled by its team", token, actions);
+    return boost::outcome_v2::success();
+}
+
+const Job* JobDesk::find(const std::string& id) const
+{
+    const auto found = m_shards.find(shardOf(id));
+    if (found == m_shards.end())
+        return nullptr;
+    const auto job = found->second.jobs.find(id);
+    return job == found->second.jobs.end() || !job->second.accepted ? nullptr : &job->second;
+}
+
+std::vector<const Job*> JobDesk::list(const std::string& queue, const std::string& team, std::size_t most) const
+{
+    std::vector<const Job*> jobs;
+    for (const auto& [name, shard] : m_shards) {
+        for (const auto& [id, job] : shard.jobs) {
+            const bool matches = job.accepted && (queue.empty() || job.spec.queue == queue) && (team.empty() || job.spec.team == team);
+            if (matches && jobs.size() < most)
+                jobs.push_back(&job);
+        }
+    }
+    return jobs;
+}
+
+std::uint32_t JobDesk::waitingIn(const std::string& queue) const
+{
+    std::uint32_t count = 0;
+    for (const auto& [name, shard] : m_shards) {
+        for (const auto& [id, job] : shard.jobs)
+            count += job.spec.queue == queue && job.state == JobState::Waiting ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace heatherchute
--- /dev/null
+++ b/lib/Jobs/Shards.cpp
@@ -0,0 +1,456 @@
+/// Claims of shards, their journals, and handing them over.
+#include "heatherchute/Jobs.h"
+
+#include <algorithm>
+
+namespace heatherchute {
+
+/// A new daemon listens this long before it claims, so that it knows the homes there are.
+static constexpr Seconds joinGrace { 3 };
+static constexpr Seconds claimRetry { 1 };
+/// Records gathered into one append for this long.
+static constexpr Milliseconds commitInterval { 20 };
+/// An append whose outcome is not known is tried again after this.
+static constexpr Milliseconds unsureRetry { 500 };
+static constexpr std::size_t maxEntryBytes = 700U << 10;
+static constexpr std::size_t maxPendingRecords = 200'000;
+/// Entries after which the journal is compacted.
+static constexpr std::uint64_t entriesBeforeCompaction = 512;
+/// Time a shard stays where it is before it moves to the daemon that it is meant for.
+static constexpr Seconds handOverAfter { 10 };
+static constexpr std::size_t maxFinishedJobs = 1000;
+static constexpr std::size_t maxKeys = 20'000;
+static constexpr Seconds keyLife { 3600 };
+
+JobDesk::JobDesk(std::string self, std::string failureDomain, LimitDesk& limits)
+    : m_self(std::move(self))
+    , m_failureDomain(std::move(failureDomain))
+    , m_limits(limits)
+    , m_peers { m_self }
+    // Numbers of asks must not meet those of an earlier process.
+    , m_nextAsk(stableHash(randomToken(8)) >> 16)
+{
+}
+
+std::string JobDesk::holderOf(const Shard& shard)
+{
+    return "shard/" + shard.name;
+}
+
+void JobDesk::setPeers(std::vector<std::string> peers, const std::map<std::string, ShardHome>& othersHomes, TimePoint)
+{
+    m_peers = std::move(peers);
+    m_othersHomes = othersHomes;
+    for (auto& [name, shard] : m_shards) {
+        std::erase_if(shard.unheardPeers, [this](const std::string& peer) {
+            return std::find(m_peers.begin(), m_peers.end(), peer) == m_peers.end();
+        });
+        if (shard.phase == Phase::Reconciling)
+            checkReconciled(shard);
+    }
+}
+
+void JobDesk::tick(TimePoint now, JobActions& actions)
+{
+    if (!m_startedAt)
+        m_startedAt = now;
+    claimDue(now, actions);
+    for (auto& [name, shard] : m_shards)
+        tickShard(shard, now, actions);
+    place(now, actions);
+    std::vector<std::string> closed;
+    for (const auto& [name, shard] : m_shards) {
+        const bool isPlacing = std::any_of(m_placing.begin(), m_placing.end(), [&name = name](const auto& entry) { return entry.second.shard == name; });
+        if (shard.phase == Phase::Closing && shard.pending.empty() && !shard.appendInFlight && !shard.appendUnsure && !isPlacing)
+            closed.push_back(name);
+    }
+    for (const auto& name : closed)
+        dropShard(name, actions);
+}
+
+void JobDesk::claimDue(TimePoint now, JobActions& actions)
+{
+    if (now < *m_startedAt + joinGrace)
+        return;
+    for (const auto& name : shardsOfDomain(m_failureDomain)) {
+        const auto held = m_shards.find(name);
+        const auto other = m_othersHomes.find(name);
+        const bool isMeantForUs = !m_leaving && !m_peers.empty() && m_peers[rendezvousChoice(name, m_peers)] == m_self;
+        if (held != m_shards.end()) {
+            auto& shard = held->second;
+            if (other != m_othersHomes.end() && other->second.epoch > shard.epoch && shard.epoch > 0)
+                dropShard(name, actions);
+            else if (shard.phase == Phase::Active && !isMeantForUs && (m_leaving || now >= shard.activeSince + handOverAfter))
+                shard.phase = Phase::Closing;
+            continue;
+        }
+        if (!isMeantForUs || other != m_othersHomes.end() || now < m_nextClaim[name])
+            continue;
+        m_nextClaim[name] = now + claimRetry;
+        m_shards[name].name = name;
+        actions.push_back(ReadJournal { name });
+    }
+}
+
+void JobDesk::onJournalRead(const std::string& name, const Result<std::vector<JournalEntry>>& entries, TimePoint now, JobActions& actions)
+{
+    const auto found = m_shards.find(name);
+    if (found == m_shards.end() || found->second.phase != Phase::Reading)
+        return;
+    auto& shard = found->second;
+    if (!entries) {
+        dropShard(name, actions);
+        return;
+    }
+    for (const auto& entry : entries.value()) {
+        if (shard.nextSequence == 1)
+            shard.firstSequence = entry.sequence;
+        shard.nextSequence = entry.sequence + 1;
+        for (const auto& record : entry.records)
+            std::visit([&](const auto& typed) { apply(shard, typed, now); }, record);
+    }
+    for (auto& [key, entry] : shard.keys) {
+        // Begun by a home that is gone, and not known to have ended.
+        if (entry.state == KeyState::Running)
+            entry.state = KeyState::Unknown;
+    }
+    ++shard.epoch;
+    shard.phase = Phase::Claiming;
+    append(shard, ClaimRecord { shard.epoch, m_self });
+    flush(shard, now, actions);
+}
+
+void JobDesk::apply(Shard& shard, const ClaimRecord& record, TimePoint)
+{
+    shard.epoch = std::max(shard.epoch, record.epoch);
+}
+
+void JobDesk::apply(Shard& shard, const AcceptRecord& record, TimePoint now)
+{
+    const auto& spec = record.job;
+    const auto [entry, isNew] = shard.jobs.try_emplace(spec.id);
+    auto& job = entry->second;
+    job.accepted = true;
+    if (!isNew)
+        return;
+    job.spec = spec;
+    job.slots.resize(spec.tasks);
+    job.acceptedAt = now;
+    if (!spec.idempotency.empty())
+        shard.jobOfKey[spec.idempotency] = spec.id;
+    const auto number = std::strtoull(spec.id.c_str() + shard.name.size() + 1, nullptr, 10);
+    shard.nextNumber = std::max<std::uint64_t>(shard.nextNumber, number + 1);
+}
+
+void JobDesk::apply(Shard& shard, const TaskDoneRecord& record, TimePoint)
+{
+    const auto found = shard.jobs.find(record.job);
+    if (found == shard.jobs.end() || record.index >= found->second.slots.size())
+        return;
+    auto& slot = found->second.slots[record.index];
+    freeSlot(shard, found->second, slot);
+    slot.state = SlotState::Done;
+}
+
+void JobDesk::apply(Shard& shard, const JobStateRecord& record, TimePoint)
+{
+    const auto found = shard.jobs.find(record.job);
+    const auto state = jobStateFromName(record.state);
+    if (found == shard.jobs.end() || !state || isFinal(found->second.state))
+        return;
+    found->second.state = *state;
+    found->second.detail = record.detail;
+    if (isFinal(*state))
+        shard.finished.push_back(record.job);
+}
+
+void JobDesk::apply(Shard& shard, const KeyBegunRecord& record, TimePoint now)
+{
+    shard.keys.try_emplace(record.key, KeyEntry { record.fingerprint, KeyState::Running, now });
+}
+
+void JobDesk::apply(Shard& shard, const KeyEndedRecord& record, TimePoint)
+{
+    const auto found = shard.keys.find(record.key);
+    if (found == shard.keys.end())
+        return;
+    if (record.ran)
+        found->second.state = KeyState::Ended;
+    else
+        shard.keys.erase(found);
+}
+
+void JobDesk::apply(Shard& shard, const CompactedRecord& record, TimePoint)
+{
+    shard.firstSequence = std::max(shard.firstSequence, record.from);
+}
+
+void JobDesk::append(Shard& shard, JournalRecord record, std::uint64_t token)
+{
+    shard.pending.push_back({ std::move(record), token });
+}
+
+void JobDesk::flush(Shard& shard, TimePoint now, JobActions& actions)
+{
+    if (shard.appendInFlight || now < shard.nextAppend)
+        return;
+    if (shard.appendUnsure) {
+        shard.appendUnsure = false;
+        shard.appendInFlight = true;
+        actions.push_back(AppendJournal { shard.name, shard.inFlight });
+        return;
+    }
+    if (shard.pending.empty())
+        return;
+    shard.inFlight = { shard.nextSequence, randomToken(8), {} };
+    shard.inFlightRecords.clear();
+    std::size_t bytes = 0;
+    while (!shard.pending.empty() && bytes < maxEntryBytes) {
+        bytes += toTagged(shard.pending.front().record).dump(-1, ' ', false, Json::error_handler_t::replace).size();
+        shard.inFlight.records.push_back(shard.pending.front().record);
+        shard.inFlightRecords.push_back(std::move(shard.pending.front()));
+        shard.pending.pop_front();
+    }
+    shard.appendInFlight = true;
+    shard.nextAppend = now + commitInterval;
+    actions.push_back(AppendJournal { shard.name, shard.inFlight });
+}
+
+void JobDesk::onAppended(const std::string& name, std::uint64_t sequence, AppendOutcome outcome, TimePoint now, JobActions& actions)
+{
+    const auto found = m_shards.find(name);
+    if (found == m_shards.end() || !found->second.appendInFlight || found->second.inFlight.sequence != sequence)
+        return;
+    auto& shard = found->second;
+    shard.appendInFlight = false;
+    if (outcome == AppendOutcome::Taken) {
+        logEvent(LogLevel::Warning, "shard_lost", { { "shard", name }, { "epoch", shard.epoch } });
+        dropShard(name, actions);
+        return;
+    }
+    if (outcome == AppendOutcome::Unknown) {
+        shard.appendUnsure = true;
+        shard.nextAppend = now + unsureRetry;
+        return;
+    }
+    shard.nextSequence = sequence + 1;
+    const auto written = std::move(shard.inFlightRecords);
+    shard.inFlightRecords.clear();
+    for (const auto& record : written)
+        recordWritten(shard, record, now, actions);
+    compact(shard);
+}
+
+void JobDesk::recordWritten(Shard& shard, const PendingRecord& written, TimePoint now, JobActions& actions)
+{
+    // Key records took effect when they were appended: a key may have been used anew since.
+    const bool isKeyRecord = std::holds_alternative<KeyBegunRecord>(written.record) || std::holds_alternative<KeyEndedRecord>(written.record);
+    if (!isKeyRecord)
+        std::visit([&](const auto& typed) { apply(shard, typed, now); }, written.record);
+    if (written.token != 0)
+        actions.push_back(Durable { written.token });
+    if (std::holds_alternative<ClaimRecord>(written.record)) {
+        claimWritten(shard, now, actions);
+    } else if (const auto* const done = std::get_if<TaskDoneRecord>(&written.record)) {
+        auto& job = shard.jobs[done->job];
+        changed(job, actions);
+        const bool allDone = std::all_of(job.slots.begin(), job.slots.end(), [](const TaskSlot& slot) { return slot.state == SlotState::Done; });
+        if (allDone && !isFinal(job.state))
+            finish(shard, job, JobState::Succeeded, {}, 0, actions);
+    } else if (const auto* const state = std::get_if<JobStateRecord>(&written.record)) {
+        auto& job = shard.jobs[state->job];
+        changed(job, actions);
+        if (isFinal(job.state))
+            stopActive(shard, job, actions);
+    } else if (const auto* const compacted = std::get_if<CompactedRecord>(&written.record)) {
+        shard.compacting = false;
+        actions.push_back(TrimJournal { shard.name, compacted->from });
+    }
+}
+
+void JobDesk::compact(Shard& shard)
+{
+    if (shard.compacting || shard.phase != Phase::Active || shard.nextSequence - shard.firstSequence < entriesBeforeCompaction)
+        return;
+    shard.compacting = true;
+    const auto from = shard.nextSequence;
+    append(shard, ClaimRecord { shard.epoch, m_self });
+    for (const auto& [id, job] : shard.jobs) {
+        if (!job.accepted)
+            continue;
+        append(shard, AcceptRecord { job.spec });
+        for (std::uint32_t i = 0; i < job.slots.size(); ++i) {
+            if (job.slots[i].state == SlotState::Done)
+                append(shard, TaskDoneRecord { id, i });
+        }
+        if (isFinal(job.state))
+            append(shard, JobStateRecord { id, std::string(jobStateName(job.state)), job.detail });
+    }
+    for (const auto& [key, entry] : shard.keys) {
+        append(shard, KeyBegunRecord { key, entry.fingerprint });
+        if (entry.state == KeyState::Ended)
+            append(shard, KeyEndedRecord { key, true });
+    }
+    append(shard, CompactedRecord { from });
+}
+
+void JobDesk::claimWritten(Shard& shard, TimePoint now, JobActions& actions)
+{
+    if (shard.phase != Phase::Claiming)
+        return;
+    shard.phase = Phase::Reconciling;
+    shard.unheardPeers.insert(m_peers.begin(), m_peers.end());
+    shard.nextClaimNotice = now + claimRetry;
+    logEvent(LogLevel::Info, "shard_claimed", { { "shard", shard.name }, { "epoch", shard.epoch }, { "jobs", shard.jobs.size() } });
+    actions.push_back(SendToOwner { {}, HomeClaim { shard.name, shard.epoch } });
+}
+
+void JobDesk::onClaimReply(const std::string& from, const HomeClaimReply& reply, TimePoint now, JobActions& actions)
+{
+    const auto found = m_shards.find(reply.shard);
+    if (found == m_shards.end() || found->second.epoch != reply.epoch)
+        return;
+    auto& shard = found->second;
+    onReports(from, { reply.shard, reply.tasks }, now, actions);
+    if (shard.phase != Phase::Reconciling)
+        return;
+    shard.unheardPeers.erase(from);
+    for (const auto& vm : reply.ownedVms) {
+        shard.heardVms.insert(vm);
+        shard.unheardVms.erase(vm);
+    }
+    for (const auto& vm : reply.otherVms) {
+        if (!shard.heardVms.contains(vm))
+            shard.unheardVms.insert(vm);
+    }
+    checkReconciled(shard);
+}
+
+void JobDesk::checkReconciled(Shard& shard)
+{
+    if (!shard.unheardPeers.empty() || !shard.unheardVms.empty())
+        return;
+    shard.phase = Phase::Active;
+    shard.activeSince = Clock::time_point {};
+    std::map<std::string, std::uint32_t> active;
+    for (const auto& [id, job] : shard.jobs)
+        active[job.spec.team] += job.active();
+    for (const auto& [team, count] : active)
+        m_limits.adopt(team, holderOf(shard), count);
+    logEvent(LogLevel::Info, "shard_active", { { "shard", shard.name }, { "epoch", shard.epoch } });
+}
+
+void JobDesk::tickShard(Shard& shard, TimePoint now, JobActions& actions)
+{
+    if (shard.phase == Phase::Active && shard.activeSince == TimePoint {})
+        shard.activeSince = now;
+    if (shard.phase == Phase::Reconciling && now >= shard.nextClaimNotice) {
+        shard.nextClaimNotice = now + claimRetry;
+        actions.push_back(SendToOwner { {}, HomeClaim { shard.name, shard.epoch } });
+    }
+    if (shard.phase == Phase::Active)
+        queryOverdue(shard, now, actions);
+    forgetOld(shard, now);
+    flush(shard, now, actions);
+}
+
+void JobDesk::forgetOld(Shard& shard, TimePoint now)
+{
+    while (shard.finished.size() > maxFinishedJobs) {
+        const auto found = shard.jobs.find(shard.finished.front());
+        if (found != shard.jobs.end() && found->second.active() > 0)
+            return;
+        if (found != shard.jobs.end()) {
+            shard.jobOfKey.erase(found->second.spec.idempotency);
+            shard.jobs.erase(found);
+        }
+        shard.finished.pop_front();
+    }
+    if (shard.keys.size() < maxKeys / 2)
+        return;
+    std::erase_if(shard.keys, [now](const auto& entry) {
+        return entry.second.state != KeyState::Running && now - entry.second.since >= keyLife;
+    });
+}
+
+void JobDesk::dropShard(const std::string& name, JobActions& actions)
+{
+    const auto found = m_shards.find(name);
+    if (found == m_shards.end())
+        return;
+    auto& shard = found->second;
+    for (const auto& record : shard.inFlightRecords) {
+        if (record.token != 0)
+            actions.push_back(NotDurable { record.token });
+    }
+    for (const auto& record : shard.pending) {
+        if (record.token != 0)
+            actions.push_back(NotDurable { record.token });
+    }
+    m_limits.drop(holderOf(shard));
+    std::erase_if(m_placing, [&name](const auto& entry) { return entry.second.shard == name; });
+    m_shards.erase(found);
+}
+
+std::vector<ShardHome> JobDesk::homes() const
+{
+    std::vector<ShardHome> homes;
+    for (const auto& [name, shard] : m_shards) {
+        if (shard.phase == Phase::Active || shard.phase == Phase::Reconciling)
+            homes.push_back({ name, shard.epoch });
+    }
+    return homes;
+}
+
+bool JobDesk::isHome(const std::string& name) const
+{
+    const auto found = m_shards.find(name);
+    return found != m_shards.end() && (found->second.phase == Phase::Active || found->second.phase == Phase::Reconciling);
+}
+
+std::string JobDesk::shardForNewJob() const
+{
+    const Shard* best = nullptr;
+    for (const auto& [name, shard] : m_shards) {
+        if (isHome(name) && shard.pending.size() < maxPendingRecords && (!best || shard.jobs.size() < best->jobs.size()))
+            best = &shard;
+    }
+    return best ? best->name : std::string();
+}
+
+KeyState JobDesk::keyState(const std::string& name, const std::string& key, const std::string& fingerprint) const
+{
+    const auto found = m_shards.find(name);
+    if (found == m_shards.end())
+        return KeyState::Unseen;
+    const auto entry = found->second.keys.find(key);
+    if (entry == found->second.keys.end())
+        return KeyState::Unseen;
+    if (entry->second.fingerprint != fingerprint)
+        return KeyState::Mismatch;
+    return entry->second.state;
+}
+
+Result<void> JobDesk::beginKey(const std::string& name, const std::string& key, const std::string& fingerprint, std::uint64_t token, TimePoint now)
+{
+    const auto found = m_shards.find(name);
+    if (found == m_shards.end() || !isHome(name))
+        return ErrorKind::HomeUnreachable;
+    auto& shard = found->second;
+    if (shard.keys.size() >= maxKeys || shard.pending.size() >= maxPendingRecords)
+        return ErrorKind::Overloaded;
+    apply(shard, KeyBegunRecord { key, fingerprint }, now);
+    append(shard, KeyBegunRecord { key, fingerprint }, token);
+    return boost::outcome_v2::success();
+}
+
+void JobDesk::endKey(const std::string& name, const std::string& key, bool ran, TimePoint now)
+{
+    const auto found = m_shards.find(name);
+    if (found == m_shards.end())
+        return;
+    apply(found->second, KeyEndedRecord { key, ran }, now);
+    append(found->second, KeyEndedRecord { key, ran });
+}
+
+} // namespace heatherchute
--- /dev/null
+++ b/lib/Ownership/VmDesk.cpp
@@ -0,0 +1,362 @@
+#include "heatherchute/Ownership.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace heatherchute {
+
+VmDesk::VmDesk(std::string self, std::string failureDomain, OwnershipTimes times)
+    : m_self(std::move(self))
+    , m_failureDomain(std::move(failureDomain))
+    , m_times(times)
+    , m_owners { m_self }
+{
+}
+
+void VmDesk::setOwners(std::vector<std::string> owners)
+{
+    m_owners = std::move(owners);
+}
+
+void VmDesk::setDrained(std::set<std::string> drained)
+{
+    m_drained = std::move(drained);
+}
+
+void VmDesk::setVmList(const std::vector<VmInfo>& vms, TimePoint now)
+{
+    for (auto& [id, vm] : m_vms)
+        vm.listed = false;
+    for (const auto& info : vms) {
+        if (info.failureDomain != m_failureDomain)
+            continue;
+        const auto [entry, isNew] = m_vms.try_emplace(info.id);
+        auto& vm = entry->second;
+        vm.info = info;
+        vm.listed = true;
+        if (isNew)
+            vm.silentSince = now;
+    }
+}
+
+bool VmDesk::isOwned(const Vm& vm, TimePoint now) const
+{
+    return vm.epoch != 0 && now + m_times.ownerMargin < vm.ownedUntil;
+}
+
+bool VmDesk::takesWork(const Vm& vm, TimePoint now) const
+{
+    return isOwned(vm, now) && vm.listed && !vm.leaving && !vm.info.leaving && !m_drained.contains(vm.info.id)
+        && now >= vm.quarantinedUntil && shouldOwn(vm);
+}
+
+bool VmDesk::shouldOwn(const Vm& vm) const
+{
+    if (m_leaving || m_owners.empty())
+        return false;
+    return m_owners[rendezvousChoice(vm.info.id, m_owners)] == m_self;
+}
+
+Resources VmDesk::freeOn(const Vm& vm) const
+{
+    auto free = vm.info.capacity;
+    for (const auto& [id, task] : vm.tasks) {
+        // Declared sizes are far off, so the larger of declared and observed counts.
+        if (!isFinal(task.state))
+            free -= largerOf(task.attempt.size, task.used);
+    }
+    for (const auto& reservation : vm.reservations) {
+        for (std::uint32_t i = 0; i < reservation.count; ++i)
+            free -= reservation.size;
+    }
+    return free;
+}
+
+std::uint32_t VmDesk::freeSlots(const Vm& vm, TimePoint now) const
+{
+    const auto busy = vm.slotsInUse + vm.foreignSlots;
+    if (!takesWork(vm, now) || busy >= vm.info.slots)
+        return 0;
+    return vm.info.slots - busy;
+}
+
+void VmDesk::tick(TimePoint now, OwnershipActions& actions)
+{
+    for (auto it = m_vms.begin(); it != m_vms.end();) {
+        auto& vm = it->second;
+        std::erase_if(vm.reservations, [now](const Reservation& reservation) { return now >= reservation.until; });
+        const auto freed = std::erase_if(vm.silentSlots, [now](TimePoint until) { return now >= until; });
+        vm.slotsInUse -= static_cast<std::uint32_t>(freed);
+        if (vm.epoch != 0 && now >= vm.ownedUntil)
+            vm.epoch = 0;
+        renew(vm, now, actions);
+        checkLost(vm, now, actions);
+        startDue(vm, now, actions);
+        curbOveruse(vm, actions);
+        const bool isGone = !vm.listed && vm.epoch == 0 && vm.tasks.empty() && vm.slotsInUse == 0 && vm.lostAnnounced;
+        it = isGone ? m_vms.erase(it) : std::next(it);
+    }
+}
+
+void VmDesk::renew(Vm& vm, TimePoint now, OwnershipActions& actions)
+{
+    if (vm.leaseInFlight || now < vm.nextLease)
+        return;
+    const auto address = parseAddress(vm.info.address);
+    if (!address)
+        return;
+    const bool wanted = shouldOwn(vm);
+    if (!wanted && vm.epoch == 0)
+        return;
+    // Starts under way and busy slots are seen through before a VM is handed over.
+    const bool isBusy = vm.slotsInUse > 0 || std::any_of(vm.tasks.begin(), vm.tasks.end(), [](const auto& entry) {
+        return entry.second.state == TaskState::Starting;
+    });
+    OwnerLeaseAsk ask;
+    ask.owner = m_self;
+    ask.epoch = vm.epoch;
+    ask.ownerLeaseMs = static_cast<std::uint64_t>(m_times.ownerLease.count());
+    ask.taskLeaseMs = static_cast<std::uint64_t>(m_times.taskLease.count());
+    ask.seen = vm.seen;
+    ask.forget = vm.forget;
+    ask.release = !wanted && !isBusy;
+    if (vm.floorsDue || vm.epoch == 0) {
+        for (const auto& [shard, epoch] : m_floors)
+            ask.floors.push_back({ shard, epoch });
+    }
+    vm.leaseInFlight = true;
+    vm.nextLease = now + m_times.renewInterval;
+    actions.push_back(LeaseCall { vm.info.id, address.value(), std::move(ask) });
+}
+
+void VmDesk::onLease(const std::string& name, const OwnerLeaseAsk& ask, TimePoint sentAt, const Result<OwnerLeaseAnswer>& answer, TimePoint now, OwnershipActions& actions)
+{
+    const auto found = m_vms.find(name);
+    if (found == m_vms.end())
+        return;
+    auto& vm = found->second;
+    vm.leaseInFlight = false;
+    if (!answer) {
+        // Tried again soon: one lost call must not cost the ownership.
+        vm.nextLease = now + m_times.renewInterval / 4;
+        return;
+    }
+    vm.silentSince = now;
+    vm.lostAnnounced = false;
+    const auto& lease = answer.value();
+    if (!lease.granted) {
+        vm.epoch = 0;
+        vm.nextLease = now + std::min<Duration>(Milliseconds(lease.remainingMs + 20), m_times.renewInterval);
+        return;
+    }
+    std::erase_if(vm.forget, [&ask](const std::string& id) {
+        return std::find(ask.forget.begin(), ask.forget.end(), id) != ask.forget.end();
+    });
+    vm.floorsDue = false;
+    if (ask.release) {
+        vm.epoch = 0;
+        // What was not acknowledged is reported by the next owner.
+        vm.tasks.clear();
+        return;
+    }
+    granted(vm, lease, sentAt, now, actions);
+}
+
+void VmDesk::granted(Vm& vm, const OwnerLeaseAnswer& answer, TimePoint sentAt, TimePoint now, OwnershipActions& actions)
+{
+    const bool isNewOwner = vm.epoch == 0 || vm.epoch != answer.epoch || vm.boot != answer.boot;
+    if (vm.boot != answer.boot)
+        replaceBoot(vm, answer.boot, now);
+    vm.epoch = answer.epoch;
+    // Counted from before the call was sent, so that ours ends before the VM's.
+    vm.ownedUntil = sentAt + m_times.ownerLease;
+    vm.lastGranted = sentAt;
+    vm.leaving = answer.leaving;
+    // An earlier owner's requests go on; with the epoch raised they can only become fewer.
+    vm.foreignSlots = isNewOwner ? answer.slotsInUse : std::min(vm.foreignSlots, answer.slotsInUse);
+    if (vm.foreignSlots > 0)
+        vm.nextLease = now + m_times.renewInterval / 5;
+    for (const auto& floor : answer.floors)
+        m_floors[floor.shard] = std::max(m_floors[floor.shard], floor.epoch);
+    if (isNewOwner) {
+        // The answer holds every task of the VM: what it lacks is not there and, with the
+        // epoch raised, cannot come any more.
+        std::set<std::string> present;
+        for (const auto& change : answer.changes)
+            present.insert(change.id);
+        for (auto& [id, task] : vm.tasks) {
+            if (!present.contains(id) && !isFinal(task.state))
+                endTask(task, task.state == TaskState::Starting ? TaskState::NotStarted : TaskState::Lost, "not on the VM", now);
+        }
+    }
+    applyChanges(vm, answer, now);
+    if (isNewOwner) {
+        actions.push_back(DomainNotice { VmOwned { vm.info.id } });
+        for (const auto& service : vm.info.services)
+            actions.push_back(SlotFreed { service });
+    }
+}
+
+void VmDesk::replaceBoot(Vm& vm, const std::string& boot, TimePoint now)
+{
+    for (auto& [id, task] : vm.tasks) {
+        if (!isFinal(task.state))
+            endTask(task, task.state == TaskState::Starting ? TaskState::NotStarted : TaskState::Lost, "VM was replaced", now);
+    }
+    vm.boot = boot;
+    vm.seen = 0;
+    vm.forget.clear();
+    vm.failuresInRow = 0;
+    vm.failedJobs.clear();
+}
+
+void VmDesk::applyChanges(Vm& vm, const OwnerLeaseAnswer& answer, TimePoint now)
+{
+    for (const auto& change : answer.changes)
+        applyChange(vm, change, now);
+    vm.seen = answer.seen;
+}
+
+void VmDesk::applyChange(Vm& vm, const TaskChange& change, TimePoint now)
+{
+    const auto state = taskStateFromName(change.state);
+    if (!state)
+        return;
+    const auto [entry, isNew] = vm.tasks.try_emplace(change.id);
+    auto& task = entry->second;
+    if (isNew) {
+        task.attempt.id = change.id;
+        task.attempt.job = jobOf(change.id);
+        task.attempt.shard = shardOf(change.id);
+        task.attempt.shardEpoch = change.shardEpoch;
+        task.attempt.vm = vm.info.id;
+        task.attempt.size = change.size;
+    }
+    task.used = change.used;
+    if (isFinal(task.state) || task.state == *state)
+        return;
+    if (*state == TaskState::Failed)
+        noteFailure(vm, task.attempt.job, now);
+    else if (*state == TaskState::Succeeded)
+        noteSuccess(vm);
+    endTask(task, *state, change.detail.empty() ? task.detail : change.detail, now);
+}
+
+void VmDesk::endTask(Task& task, TaskState state, std::string detail, TimePoint now)
+{
+    task.state = state;
+    task.detail = std::move(detail);
+    task.acknowledged = false;
+    task.nextReport = now;
+}
+
+void VmDesk::checkLost(Vm& vm, TimePoint now, OwnershipActions& actions)
+{
+    if (vm.lostAnnounced || !shouldOwn(vm))
+        return;
+    const auto since = std::max(vm.silentSince, vm.lastGranted);
+    const bool couldStillRun = now < since + m_times.taskLease + m_times.lapseMargin;
+    if (couldStillRun || vm.epoch != 0)
+        return;
+    vm.lostAnnounced = true;
+    for (auto& [id, task] : vm.tasks) {
+        if (!isFinal(task.state))
+            endTask(task, TaskState::Lost, "VM was silent until its leases lapsed", now);
+    }
+    actions.push_back(DomainNotice { VmLost { vm.info.id } });
+}
+
+void VmDesk::startDue(Vm& vm, TimePoint now, OwnershipActions& actions)
+{
+    if (!isOwned(vm, now))
+        return;
+    for (auto& [id, task] : vm.tasks) {
+        if (task.state != TaskState::Starting || task.startInFlight || now < task.nextStart)
+            continue;
+        task.startInFlight = true;
+        TaskStart start { vm.boot, vm.epoch, static_cast<std::uint64_t>(m_times.taskLease.count()), task.attempt };
+        actions.push_back(StartCall { vm.info.id, parseAddress(vm.info.address).value(), std::move(start), vm.ownedUntil - m_times.ownerMargin });
+    }
+}
+
+void VmDesk::onStarted(const std::string& name, const std::string& id, std::error_code error, TimePoint now, OwnershipActions& actions)
+{
+    const auto found = m_vms.find(name);
+    if (found == m_vms.end() || !found->second.tasks.contains(id))
+        return;
+    auto& vm = found->second;
+    auto& task = vm.tasks[id];
+    task.startInFlight = false;
+    if (task.state != TaskState::Starting)
+        return;
+    if (!error) {
+        endTask(task, TaskState::Running, {}, now);
+        if (task.stopAsked)
+            actions.push_back(OrderCall { name, parseAddress(vm.info.address).value(), id, vm.epoch, TaskOrder::Stop });
+        return;
+    }
+    const auto kind = errorKind(error);
+    if (kind == ErrorKind::Fenced || kind == ErrorKind::NeverRunnable) {
+        endTask(task, TaskState::NotStarted, kind == ErrorKind::Fenced ? "fenced" : "no room", now);
+        return;
+    }
+    if (kind == ErrorKind::NoEndpoint && task.stopAsked) {
+        endTask(task, TaskState::NotStarted, "stopped before it started", now);
+        return;
+    }
+    // It may have started: the same start is sent again until the VM says which.
+    task.nextStart = now + Milliseconds(200);
+}
+
+void VmDesk::curbOveruse(Vm& vm, OwnershipActions& actions)
+{
+    Resources used;
+    Task* worst = nullptr;
+    double worstExcess = 0;
+    for (auto& [id, task] : vm.tasks) {
+        if (task.state != TaskState::Running)
+            continue;
+        used += task.used;
+        const auto excess = task.used.memoryMb - task.attempt.size.memoryMb;
+        if (!task.stopAsked && excess > worstExcess) {
+            worst = &task;
+            worstExcess = excess;
+        }
+    }
+    if (vm.epoch == 0 || !worst || used.memoryMb <= vm.info.capacity.memoryMb)
+        return;
+    worst->stopAsked = true;
+    worst->detail = "stopped: it used more memory than it declared and the VM has none left";
+    const auto address = parseAddress(vm.info.address).value();
+    actions.push_back(OrderCall { vm.info.id, address, worst->attempt.id, vm.epoch, TaskOrder::Checkpoint });
+    actions.push_back(OrderCall { vm.info.id, address, worst->attempt.id, vm.epoch, TaskOrder::Stop });
+}
+
+void VmDesk::noteFailure(Vm& vm, const std::string& job, TimePoint now)
+{
+    // One bad job fails everywhere; a bad VM fails jobs of several kinds and nothing succeeds.
+    constexpr std::size_t jobsForEvidence = 3;
+    constexpr std::uint32_t maxDoublings = 6;
+    vm.failedJobs.insert(job);
+    ++vm.failuresInRow;
+    if (vm.failedJobs.size() < jobsForEvidence)
+        return;
+    vm.quarantinedUntil = now + m_times.quarantine * (1U << std::min(vm.quarantines, maxDoublings));
+    ++vm.quarantines;
+    // One more failure after the quarantine is evidence enough.
+    vm.failedJobs = { "previous", "evidence" };
+}
+
+void VmDesk::noteSuccess(Vm& vm)
+{
+    vm.failuresInRow = 0;
+    vm.failedJobs.clear();
+    vm.quarantines = 0;
+}
+
+bool VmDesk::ownsAnything() const
+{
+    return std::any_of(m_vms.begin(), m_vms.end(), [](const auto& entry) { return entry.second.epoch != 0; });
+}
+
+} // namespace heatherchute
--- /dev/null
+++ b/lib/Platform/Endpoint.cpp
@@ -0,0 +1,102 @@
+#include "heatherchute/Platform.h"
+
+namespace heatherchute {
+
+/// Longest service answer that is passed through, in bytes.
+static constexpr std::size_t maxServiceAnswerBytes = 4U << 20;
+
+HttpVmList::HttpVmList(HttpClient& client, Address address)
+    : m_client(client)
+    , m_address(std::move(address))
+{
+}
+
+/// Reads one message of a protocol whose fields have defaults; BadJson when it has wrong types.
+template <typename Message>
+static Result<Message> parseMessage(const std::string& body)
+{
+    const auto json = Json::parse(body, nullptr, false);
+    if (json.is_discarded())
+        return ErrorKind::BadJson;
+    try {
+        return json.get<Message>();
+    } catch (const Json::exception&) {
+        return ErrorKind::BadJson;
+    }
+}
+
+Result<std::vector<VmInfo>> HttpVmList::fetch()
+{
+    const auto response = m_client.call(m_address, { "GET", "/v1/vms", {}, {} }, {});
+    if (!response)
+        return response.error();
+    if (response.value().status != 200)
+        return ErrorKind::StoreUnavailable;
+    return parseMessage<std::vector<VmInfo>>(response.value().body);
+}
+
+HttpEndpoint::HttpEndpoint(HttpClient& client)
+    : m_client(client)
+{
+}
+
+Result<OwnerLeaseAnswer> HttpEndpoint::lease(const Address& address, const OwnerLeaseAsk& ask, Milliseconds timeout)
+{
+    const auto response = m_client.call(address, { "PUT", "/v1/owner", {}, Json(ask).dump() }, { timeout, 4U << 20 });
+    if (!response)
+        return response.error();
+    if (response.value().status != 200)
+        return ErrorKind::NoEndpoint;
+    return parseMessage<OwnerLeaseAnswer>(response.value().body);
+}
+
+Result<void> HttpEndpoint::start(const Address& address, const TaskStart& start, Milliseconds timeout)
+{
+    const HttpRequest request { "PUT", "/v1/tasks/" + start.task.id, {}, Json(start).dump() };
+    const auto response = m_client.call(address, request, { timeout, 64U << 10 });
+    if (!response)
+        return response.error();
+    switch (response.value().status) {
+    case 200:
+    case 201:
+        return boost::outcome_v2::success();
+    case 409:
+        return ErrorKind::Fenced;
+    case 507:
+        return ErrorKind::NeverRunnable;
+    default:
+        return ErrorKind::OutcomeUnknown;
+    }
+}
+
+static const char* orderPath(TaskOrder order)
+{
+    switch (order) {
+    case TaskOrder::Stop:
+        return "/stop";
+    case TaskOrder::Checkpoint:
+        return "/checkpoint";
+    case TaskOrder::Throttle:
+        return "/throttle";
+    }
+    return "/";
+}
+
+Result<void> HttpEndpoint::order(const Address& address, const std::string& task, std::uint64_t ownerEpoch, TaskOrder order, Milliseconds timeout)
+{
+    const Json body { { "ownerEpoch", ownerEpoch } };
+    const HttpRequest request { "POST", "/v1/tasks/" + task + orderPath(order), {}, body.dump() };
+    const auto response = m_client.call(address, request, { timeout, 64U << 10 });
+    if (!response)
+        return response.error();
+    if (response.value().status == 200)
+        return boost::outcome_v2::success();
+    return ErrorKind::Fenced;
+}
+
+Result<HttpResponse> HttpEndpoint::request(const Address& address, const HttpRequest& request, Milliseconds timeout)
+{
+    return m_client.call(address, request, { timeout, maxServiceAnswerBytes });
+}
+
+} // namespace heatherchute
