Drive the desks through random faults; mend seven faults that showed

A model world (two daemons, three VMs, a store, late and lost messages, virtual time) tries hundreds, and found: a task that a dead home's VM reports as succeeded was started again before the record was written; a home that died between its last task's record and the job's own left the job unfinished; a gang broken by a lost VM waited for ever when its other tasks succeeded; a gang never got the allotment it asked for (missing parts counted twice); an allotment whose answer was lost was never looked up again; a thawed home did not notice that it had been replaced; allotments lapsed while jobs backed off.

Ruled out: the world's own bookkeeping, which was wrong twice (a task told as running counted as told done; jobs whose submitter was never answered counted as lost) and was mended first.

Change: a state for 'succeeded, not yet recorded'; a new home finishes what is done; revalidation of homes after a pause; allotments are asked for again after an error; a takeover brings the store in line.

--- a/include/heatherchute/Jobs.h
+++ b/include/heatherchute/Jobs.h
@@ -126,6 +126,9 @@
     /// Sent to a VM's owner; it may run.
     Committed,
     Running,
+    /// It has succeeded; the record of that is being written.
+    Succeeded,
+    /// Its success is in the journal.
     Done,
 };
 
@@ -135,8 +138,6 @@
     std::uint32_t failures = 0;
     /// When to ask the owner, if nothing is heard.
     TimePoint queryAt;
-    /// It has succeeded; the record of that is being written.
-    bool succeeded = false;
 };
 
 struct Job {
@@ -153,6 +154,8 @@
     TimePoint nextTry;
     Milliseconds backoff { 0 };
     bool placing = false;
+    /// Waits for a part of its team's limit: it is tried as soon as there is one.
+    bool waitsForLimit = false;
     /// A task of the gang was lost: all stop before any starts again.
     bool gangBroken = false;
     bool accepted = false;
@@ -194,6 +197,9 @@
     void setShares(std::map<std::string, double> shares) { m_shares = std::move(shares); }
     /// Targets by class: the wait after which work is urgent.
     void setWaitTargets(std::map<std::string, Milliseconds> targets) { m_waitTargets = std::move(targets); }
+    /// After a pause: makes sure, by a write at the end of each journal, that no other home has
+    /// claimed meanwhile.
+    void revalidate();
     /// Hands every shard over, for a graceful shutdown.
     void setLeaving() { m_leaving = true; }
 
@@ -319,15 +325,18 @@
     void finishPlacing(std::uint64_t ask, TimePoint now, JobActions& actions);
     void commitTo(const Shard& shard, Job& job, const Placing& placing, std::uint64_t ask, TimePoint now, JobActions& actions);
     void release(const Shard& shard, const Placing& placing, std::uint64_t ask, JobActions& actions);
+    bool isDue(const Shard& shard, const Job& job, TimePoint now) const;
     void backOff(Job& job, TimePoint now, std::string reason);
 
     // Reports.cpp
     bool applyReport(Shard& shard, Job& job, const TaskReport& report, TimePoint now, JobActions& actions);
     void adoptStray(Shard& shard, Job& job, std::uint32_t index, const TaskReport& report, TaskState state, TimePoint now, JobActions& actions);
     void slotEnded(Shard& shard, Job& job, TaskSlot& slot, TaskState state, const TaskReport& report, TimePoint now, JobActions& actions);
-    void freeSlot(Shard& shard, Job& job, TaskSlot& slot);
+    void endSlot(Shard& shard, Job& job, TaskSlot& slot, SlotState next);
+    void noteSuccess(Shard& shard, Job& job, std::uint32_t index);
     void breakGang(Shard& shard, Job& job, JobActions& actions);
-    void finish(Shard& shard, Job& job, JobState state, std::string detail, std::uint64_t token, JobActions& actions);
+    void finish(Shard& shard, Job& job, JobState state, std::string detail, std::uint64_t token);
+    void finishIfDone(Shard& shard, Job& job);
     void stopActive(Shard& shard, Job& job, JobActions& actions);
     void queryOverdue(Shard& shard, TimePoint now, JobActions& actions);
     static std::string holderOf(const Shard& shard);
--- a/include/heatherchute/Limits.h
+++ b/include/heatherchute/Limits.h
@@ -47,13 +47,16 @@
 class LimitDesk {
 public:
     /// Least time between two store calls for the same team and holder.
-    explicit LimitDesk(Milliseconds retryInterval = Milliseconds(250), Seconds idleTime = Seconds(2));
+    explicit LimitDesk(Milliseconds retryInterval = Milliseconds(250), Seconds idleTime = Seconds(5));
 
     /// Takes up to `count` for work that is about to start, all or nothing when `whole`.
     std::uint32_t take(const std::string& team, const std::string& holder, std::uint32_t count, bool whole);
     void give(const std::string& team, const std::string& holder, std::uint32_t count);
     /// States how much is in use, for a holder whose work was found running.
     void adopt(const std::string& team, const std::string& holder, std::uint32_t count);
+    /// Begins to keep a holder that another daemon kept before: what the store holds for it is
+    /// brought in line with what is adopted.
+    void takeOver(const std::string& holder);
     /// Forgets a holder that now belongs to another daemon.
     void drop(const std::string& holder);
     void setLimits(const std::map<std::string, std::uint32_t>& limits, std::uint64_t fleetVersion);
@@ -73,6 +76,7 @@
     /// The store has never answered for this holder, so it has no part of the limit.
     bool isUnknown(const std::string& team, const std::string& holder) const;
     std::uint32_t inUse(const std::string& team, const std::string& holder) const;
+    std::uint32_t free(const std::string& team, const std::string& holder) const;
     std::uint32_t held(const std::string& team, const std::string& holder) const;
 
 private:
--- a/lib/Daemon/Core.cpp
+++ b/lib/Daemon/Core.cpp
@@ -4,6 +4,8 @@
 
 static constexpr std::size_t inboxCapacity = 60'000;
 static constexpr Milliseconds tickInterval { 20 };
+/// Between two ticks this much time passes only when the process was paused.
+static constexpr Milliseconds pauseTime { 2000 };
 static constexpr Milliseconds fleetPollInterval { 1000 };
 static constexpr Milliseconds vmListInterval { 2000 };
 static constexpr Seconds holderListInterval { 30 };
@@ -52,6 +54,11 @@
 void Core::tick()
 {
     const auto now = Clock::now();
+    if (now - m_lastTick >= pauseTime && m_lastTick != TimePoint {}) {
+        logEvent(LogLevel::Warning, "paused", { { "ms", std::chrono::duration_cast<Milliseconds>(now - m_lastTick).count() } });
+        m_jobs.revalidate();
+    }
+    m_lastTick = now;
     flushBacklog();
     tickMembership(now);
     tickPolls(now);
--- a/lib/Daemon/Core.h
+++ b/lib/Daemon/Core.h
@@ -176,6 +176,7 @@
     std::vector<VmInfo> m_vmList;
     TimePoint m_nextHolderList;
     TimePoint m_nextExpiry;
+    TimePoint m_lastTick;
     std::map<std::string, TimePoint> m_absentHolders;
 
     std::uint64_t m_heartbeatSequence = 0;
--- a/lib/Jobs/Placement.cpp
+++ b/lib/Jobs/Placement.cpp
@@ -72,7 +72,7 @@
         if (shard.phase != Phase::Active)
             continue;
         for (auto& [id, job] : shard.jobs) {
-            if (!job.accepted || job.placing || isFinal(job.state) || now < job.nextTry || job.gangBroken || job.pending() == 0)
+            if (!isDue(shard, job, now))
                 continue;
             const auto target = m_waitTargets[job.spec.className];
             const bool urgent = target.count() > 0 && now - job.acceptedAt >= target / 2;
@@ -88,6 +88,15 @@
         startPlacing(m_shards[candidates[i].shard], *candidates[i].job, now, actions);
 }
 
+bool JobDesk::isDue(const Shard& shard, const Job& job, TimePoint now) const
+{
+    if (!job.accepted || job.placing || isFinal(job.state) || job.gangBroken || job.pending() == 0)
+        return false;
+    const auto wanted = job.spec.gang ? job.pending() : 1;
+    const bool limitHasRoom = job.waitsForLimit && m_limits.free(job.spec.team, holderOf(shard)) >= wanted;
+    return limitHasRoom || now >= job.nextTry;
+}
+
 void JobDesk::backOff(Job& job, TimePoint now, std::string reason)
 {
     job.placing = false;
@@ -100,7 +109,8 @@
 {
     const auto wanted = job.spec.gang ? job.pending() : std::min(job.pending(), maxTasksAtOnce);
     const auto credits = m_limits.take(job.spec.team, holderOf(shard), wanted, job.spec.gang);
-    if (credits == 0) {
+    job.waitsForLimit = credits == 0;
+    if (job.waitsForLimit) {
         backOff(job, now, "the team's upper limit leaves no room");
         return;
     }
@@ -204,7 +214,6 @@
             attempt = { job.spec.id + "." + std::to_string(next) + "." + std::to_string(shard.epoch) + "-" + std::to_string(ask), job.spec.id, next,
                 shard.name, shard.epoch, vm, largerOf(job.spec.perTask, job.observed), job.spec.work };
             slot.state = SlotState::Committed;
-            slot.succeeded = false;
             slot.queryAt = now + queryAfterCommit;
             commit.tasks.push_back(attempt);
         }
--- a/lib/Jobs/Reports.cpp
+++ b/lib/Jobs/Reports.cpp
@@ -50,7 +50,7 @@
     const bool isCurrent = (slot.state == SlotState::Committed || slot.state == SlotState::Running) && slot.attempt.id == report.task;
     if (!isCurrent) {
         adoptStray(shard, job, index, report, *state, now, actions);
-        return !(*state == TaskState::Succeeded && slot.succeeded);
+        return slot.state != SlotState::Succeeded;
     }
     job.observed = largerOf(job.observed, report.used);
     if (!isFinal(*state)) {
@@ -61,10 +61,7 @@
         return *state == TaskState::Running;
     }
     if (*state == TaskState::Succeeded) {
-        // Acknowledged only when a report comes again after the record is written.
-        if (!slot.succeeded)
-            append(shard, TaskDoneRecord { job.spec.id, index });
-        slot.succeeded = true;
+        noteSuccess(shard, job, index);
         return false;
     }
     slotEnded(shard, job, slot, *state, report, now, actions);
@@ -83,9 +80,7 @@
         return;
     }
     if (state == TaskState::Succeeded) {
-        if (!slot.succeeded)
-            append(shard, TaskDoneRecord { job.spec.id, index });
-        slot.succeeded = true;
+        noteSuccess(shard, job, index);
         return;
     }
     slot.state = SlotState::Running;
@@ -100,11 +95,19 @@
     changed(job, actions);
 }
 
-void JobDesk::freeSlot(Shard& shard, Job& job, TaskSlot& slot)
+/// The report is acknowledged only when it comes again after the record is written.
+void JobDesk::noteSuccess(Shard& shard, Job& job, std::uint32_t index)
+{
+    endSlot(shard, job, job.slots[index], SlotState::Succeeded);
+    append(shard, TaskDoneRecord { job.spec.id, index });
+}
+
+void JobDesk::endSlot(Shard& shard, Job& job, TaskSlot& slot, SlotState next)
 {
     const bool wasActive = slot.state == SlotState::Committed || slot.state == SlotState::Running;
-    slot.state = SlotState::Pending;
-    slot.succeeded = false;
+    slot.state = next;
+    // Once all have ended, what has not succeeded starts again as one.
+    job.gangBroken = job.gangBroken && job.active() > 0;
     // Before a shard is active its use of the limit has not been counted yet.
     if (wasActive && (shard.phase == Phase::Active || shard.phase == Phase::Closing))
         m_limits.give(job.spec.team, holderOf(shard), 1);
@@ -112,7 +115,7 @@
 
 void JobDesk::slotEnded(Shard& shard, Job& job, TaskSlot& slot, TaskState state, const TaskReport& report, TimePoint now, JobActions& actions)
 {
-    freeSlot(shard, job, slot);
+    endSlot(shard, job, slot, SlotState::Pending);
     changed(job, actions);
     if (isFinal(job.state))
         return;
@@ -121,7 +124,7 @@
         if (job.failedOn.size() < maxAvoidedVms)
             job.failedOn.push_back(report.vm);
         if (slot.failures >= maxFailures) {
-            finish(shard, job, JobState::Failed, "a task failed " + std::to_string(maxFailures) + " times: " + report.detail, 0, actions);
+            finish(shard, job, JobState::Failed, "a task failed " + std::to_string(maxFailures) + " times: " + report.detail, 0);
             return;
         }
         job.nextTry = now + retryAfterFailure;
@@ -135,18 +138,10 @@
 
 void JobDesk::breakGang(Shard& shard, Job& job, JobActions& actions)
 {
-    if (job.active() > 0) {
-        if (!job.gangBroken)
-            stopActive(shard, job, actions);
-        job.gangBroken = true;
+    if (job.gangBroken || job.active() == 0)
         return;
-    }
-    // All have ended: the gang starts again as one.
-    job.gangBroken = false;
-    for (auto& slot : job.slots) {
-        if (slot.state != SlotState::Done)
-            slot.state = SlotState::Pending;
-    }
+    job.gangBroken = true;
+    stopActive(shard, job, actions);
 }
 
 void JobDesk::stopActive(Shard& shard, Job& job, JobActions& actions)
@@ -160,11 +155,18 @@
         actions.push_back(SendToOwner { {}, std::move(stop) });
 }
 
-void JobDesk::finish(Shard& shard, Job& job, JobState state, std::string detail, std::uint64_t token, JobActions&)
+void JobDesk::finish(Shard& shard, Job& job, JobState state, std::string detail, std::uint64_t token)
 {
     append(shard, JobStateRecord { job.spec.id, std::string(jobStateName(state)), std::move(detail) }, token);
 }
 
+void JobDesk::finishIfDone(Shard& shard, Job& job)
+{
+    const bool isDone = std::all_of(job.slots.begin(), job.slots.end(), [](const TaskSlot& slot) { return slot.state == SlotState::Done; });
+    if (isDone && job.accepted && !isFinal(job.state))
+        finish(shard, job, JobState::Succeeded, {}, 0);
+}
+
 void JobDesk::onVmOwned(const std::string& from, const VmOwned& notice, TimePoint, JobActions& actions)
 {
     for (auto& [name, shard] : m_shards) {
@@ -196,7 +198,7 @@
         for (auto& [id, job] : shard.jobs) {
             for (auto& slot : job.slots) {
                 const bool isActive = slot.state == SlotState::Committed || slot.state == SlotState::Running;
-                if (!isActive || slot.attempt.vm != notice.vm || slot.succeeded)
+                if (!isActive || slot.attempt.vm != notice.vm)
                     continue;
                 const TaskReport report { slot.attempt.id, notice.vm, std::string(taskStateName(TaskState::Lost)), "its VM is gone", {} };
                 slotEnded(shard, job, slot, TaskState::Lost, report, now, actions);
@@ -241,7 +243,7 @@
         actions.push_back(Durable { token });
         return boost::outcome_v2::success();
     }
-    finish(found->second, job->second, JobState::Cancelled, "cancelled by its team", token, actions);
+    finish(found->second, job->second, JobState::Cancelled, "cancelled by its team", token);
     return boost::outcome_v2::success();
 }
 
--- a/lib/Jobs/Shards.cpp
+++ b/lib/Jobs/Shards.cpp
@@ -70,6 +70,14 @@
         dropShard(name, actions);
 }
 
+void JobDesk::revalidate()
+{
+    for (auto& [name, shard] : m_shards) {
+        if (shard.phase == Phase::Active || shard.phase == Phase::Reconciling)
+            append(shard, ClaimRecord { shard.epoch, m_self });
+    }
+}
+
 void JobDesk::claimDue(TimePoint now, JobActions& actions)
 {
     if (now < *m_startedAt + joinGrace)
@@ -82,7 +90,8 @@
             auto& shard = held->second;
             if (other != m_othersHomes.end() && other->second.epoch > shard.epoch && shard.epoch > 0)
                 dropShard(name, actions);
-            else if (shard.phase == Phase::Active && !isMeantForUs && (m_leaving || now >= shard.activeSince + handOverAfter))
+            // An older home that does not know of us yet must learn of our epoch first.
+            else if (shard.phase == Phase::Active && !isMeantForUs && other == m_othersHomes.end() && (m_leaving || now >= shard.activeSince + handOverAfter))
                 shard.phase = Phase::Closing;
             continue;
         }
@@ -150,8 +159,7 @@
     if (found == shard.jobs.end() || record.index >= found->second.slots.size())
         return;
     auto& slot = found->second.slots[record.index];
-    freeSlot(shard, found->second, slot);
-    slot.state = SlotState::Done;
+    endSlot(shard, found->second, slot, SlotState::Done);
 }
 
 void JobDesk::apply(Shard& shard, const JobStateRecord& record, TimePoint)
@@ -259,9 +267,7 @@
     } else if (const auto* const done = std::get_if<TaskDoneRecord>(&written.record)) {
         auto& job = shard.jobs[done->job];
         changed(job, actions);
-        const bool allDone = std::all_of(job.slots.begin(), job.slots.end(), [](const TaskSlot& slot) { return slot.state == SlotState::Done; });
-        if (allDone && !isFinal(job.state))
-            finish(shard, job, JobState::Succeeded, {}, 0, actions);
+        finishIfDone(shard, job);
     } else if (const auto* const state = std::get_if<JobStateRecord>(&written.record)) {
         auto& job = shard.jobs[state->job];
         changed(job, actions);
@@ -337,9 +343,13 @@
         return;
     shard.phase = Phase::Active;
     shard.activeSince = Clock::time_point {};
+    m_limits.takeOver(holderOf(shard));
     std::map<std::string, std::uint32_t> active;
-    for (const auto& [id, job] : shard.jobs)
+    for (auto& [id, job] : shard.jobs) {
         active[job.spec.team] += job.active();
+        // The home before us may have died between its last task's record and the job's own.
+        finishIfDone(shard, job);
+    }
     for (const auto& [team, count] : active)
         m_limits.adopt(team, holderOf(shard), count);
     logEvent(LogLevel::Info, "shard_active", { { "shard", shard.name }, { "epoch", shard.epoch } });
--- a/lib/Limits/LimitDesk.cpp
+++ b/lib/Limits/LimitDesk.cpp
@@ -43,8 +43,9 @@
     auto& account = m_teams[team].holders[holder];
     const auto free = account.held > account.inUse ? account.held - account.inUse : 0;
     const auto granted = std::min(free, count);
-    account.missing = std::max(account.missing, count - granted);
-    if (whole && granted < count)
+    const bool refused = whole && granted < count;
+    account.missing = std::max(account.missing, refused ? count : count - granted);
+    if (refused)
         return 0;
     account.inUse += granted;
     return granted;
@@ -64,6 +65,12 @@
     account.held = std::max(account.held, account.inUse);
 }
 
+void LimitDesk::takeOver(const std::string& holder)
+{
+    for (auto& [team, accounts] : m_teams)
+        accounts.holders.try_emplace(holder);
+}
+
 void LimitDesk::drop(const std::string& holder)
 {
     for (auto& [team, accounts] : m_teams)
@@ -150,10 +157,14 @@
     account.callInFlight = false;
     account.nextCall = now + m_retryInterval;
     if (!held) {
+        // The write may have taken effect all the same: the store is asked again.
+        account.isNew = true;
         account.nextCall = now + 4 * m_retryInterval;
         return;
     }
     account.isNew = false;
+    // Whoever asked for more gets time to use it.
+    account.lastBusy = now;
     account.held = std::max(held.value(), account.inUse);
     account.missing = 0;
 }
@@ -175,6 +186,11 @@
     return accounts->second.holders.at(holder).inUse;
 }
 
+std::uint32_t LimitDesk::free(const std::string& team, const std::string& holder) const
+{
+    return held(team, holder) - std::min(held(team, holder), inUse(team, holder));
+}
+
 std::uint32_t LimitDesk::held(const std::string& team, const std::string& holder) const
 {
     const auto accounts = m_teams.find(team);
--- /dev/null
+++ b/unittests/Jobs/InterleavingsTest.cpp
@@ -0,0 +1,55 @@
+#include "World.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace heatherchute {
+
+static const std::vector<Fault> allFaults { Fault::None, Fault::PauseDaemon, Fault::KillDaemon, Fault::CutDaemons, Fault::StoreDown,
+    Fault::StoreLosesAnswers, Fault::FreezeVm, Fault::RestartVm, Fault::CancelJob };
+
+static rc::Gen<FaultStep> faultStep()
+{
+    return rc::gen::build<FaultStep>(rc::gen::set(&FaultStep::fault, rc::gen::elementOf(allFaults)), rc::gen::set(&FaultStep::target, rc::gen::inRange<std::uint32_t>(0, 6)),
+        rc::gen::set(&FaultStep::seconds, rc::gen::inRange<std::uint32_t>(1, 45)));
+}
+
+std::ostream& operator<<(std::ostream& out, const FaultStep& step)
+{
+    return out << "fault " << int(step.fault) << " target " << step.target << " for " << step.seconds << " s";
+}
+
+TEST_CASE("without faults all jobs end", "[jobs]")
+{
+    World world(1);
+    CHECK(world.run({}, Seconds(1)) == "");
+}
+
+TEST_CASE("promises hold under random interleavings of faults", "[jobs]")
+{
+    const bool holds = rc::check("promises hold", [] {
+        const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+        const auto gap = *rc::gen::inRange(200, 12'000);
+        const auto faults = *rc::gen::resize(8, rc::gen::container<std::vector<FaultStep>>(faultStep()));
+        World world(seed);
+        const auto broken = world.run(faults, Milliseconds(gap));
+        RC_LOG() << broken << std::endl;
+        RC_ASSERT(broken.empty());
+    });
+    CHECK(holds);
+}
+
+TEST_CASE("the check sees two places when new homes set no floor", "[jobs]")
+{
+    // Every seed is tried until one shows the fault: with floors none does, see above.
+    bool seen = false;
+    for (std::uint32_t seed = 0; seed < 3000 && !seen; ++seed) {
+        World world(seed);
+        world.ignoreFloors();
+        const std::vector<FaultStep> faults { { Fault::PauseDaemon, 0, 30 }, { Fault::PauseDaemon, 1, 20 }, { Fault::CutDaemons, 0, 15 }, { Fault::PauseDaemon, 1, 12 } };
+        seen = !world.run(faults, Milliseconds(200 + seed * 3 % 9000)).empty();
+    }
+    CHECK(seen);
+}
+
+} // namespace heatherchute
--- /dev/null
+++ b/unittests/Jobs/World.cpp
@@ -0,0 +1,447 @@
+#include "World.h"
+
+#include <algorithm>
+
+namespace heatherchute {
+
+static const std::string domain = "d";
+static const std::string team = "t";
+static constexpr std::uint32_t teamLimit = 5;
+static constexpr std::uint32_t jobCount = 10;
+static constexpr Milliseconds stepTime { 50 };
+static constexpr Seconds deadAfter { 5 };
+static constexpr Seconds longestRun { 240 };
+
+World::World(std::uint32_t seed)
+    : m_random(seed)
+    , m_now(Seconds(1000))
+{
+    for (const auto* const name : { "x", "y" }) {
+        auto daemon = std::make_unique<Daemon>();
+        daemon->name = name;
+        restart(*daemon);
+        m_daemons.push_back(std::move(daemon));
+    }
+    for (int i = 0; i < 3; ++i) {
+        VmInfo info;
+        info.id = "vm" + std::to_string(i);
+        info.address = "127.0.0.1:" + std::to_string(i + 1);
+        info.failureDomain = domain;
+        info.rack = info.id;
+        info.capacity = { 2, 1000, 0 };
+        m_vms.emplace(info.id, ModelVm(info));
+    }
+}
+
+void World::restart(Daemon& daemon)
+{
+    ++daemon.life;
+    daemon.inbox.clear();
+    daemon.limits = std::make_unique<LimitDesk>();
+    daemon.limits->setLimits({ { team, teamLimit } }, 1);
+    daemon.vms = std::make_unique<VmDesk>(daemon.name, domain);
+    daemon.jobs = std::make_unique<JobDesk>(daemon.name, domain, *daemon.limits);
+}
+
+Duration World::delay()
+{
+    return Milliseconds(std::uniform_int_distribution<int>(1, 120)(m_random));
+}
+
+void World::atWorld(Duration after, std::function<void()> body)
+{
+    m_events.push_back({ m_now + after, m_order++, std::move(body) });
+    std::push_heap(m_events.begin(), m_events.end());
+}
+
+void World::atDaemon(Daemon& daemon, Duration after, std::function<void()> body)
+{
+    atWorld(after, [this, &daemon, life = daemon.life, body = std::move(body)] {
+        if (daemon.life != life || m_now < daemon.deadUntil)
+            return;
+        if (m_now < daemon.pausedUntil)
+            daemon.inbox.push_back(body);
+        else
+            body();
+    });
+}
+
+World::Daemon& World::daemonNamed(const std::string& name)
+{
+    return *m_daemons[name == "x" ? 0 : 1];
+}
+
+bool World::takesForAlive(const Daemon& daemon, const Daemon& other) const
+{
+    // Silence is noticed only after a while.
+    const bool isQuiet = !isUp(other) && m_now - other.downSince >= deadAfter;
+    const bool isCut = m_now < m_cutUntil && m_now - m_cutSince >= deadAfter;
+    return &daemon == &other || (!isQuiet && !isCut);
+}
+
+void World::send(Daemon& from, const std::string& to, const PeerMessage& message)
+{
+    for (auto& target : m_daemons) {
+        const bool isMeant = to.empty() || to == target->name;
+        if (!isMeant || (target.get() != &from && m_now < m_cutUntil))
+            continue;
+        // One link keeps the order of its messages.
+        auto& last = m_lastDelivery[{ from.name, target->name }];
+        last = std::max(last, m_now + (target.get() == &from ? Duration {} : delay()));
+        atDaemon(*target, last - m_now, [this, &daemon = *target, name = from.name, message] { receive(daemon, name, message); });
+    }
+}
+
+void World::receive(Daemon& daemon, const std::string& from, const PeerMessage& message)
+{
+    if (getenv("TRACE")) fprintf(stderr, "%ld %s->%s %s\n", long(m_now.time_since_epoch().count()/1000000), from.c_str(), daemon.name.c_str(), toTagged(message).dump().substr(0,600).c_str());
+    OwnershipActions vmActions;
+    JobActions jobActions;
+    auto& vms = *daemon.vms;
+    auto& jobs = *daemon.jobs;
+    if (const auto* ask = std::get_if<ReserveAsk>(&message))
+        send(daemon, from, vms.reserve(*ask, m_now));
+    else if (const auto* reply = std::get_if<ReserveReply>(&message))
+        jobs.onReserveReply(from, *reply, m_now, jobActions);
+    else if (const auto* commit = std::get_if<CommitAsk>(&message))
+        vms.commit(*commit, m_now, vmActions);
+    else if (const auto* reports = std::get_if<TaskReports>(&message))
+        send(daemon, from, jobs.onReports(from, *reports, m_now, jobActions));
+    else if (const auto* acks = std::get_if<TaskAcks>(&message))
+        vms.acknowledge(*acks);
+    else if (const auto* query = std::get_if<TaskQuery>(&message))
+        send(daemon, from, vms.query(*query, m_now));
+    else if (const auto* stop = std::get_if<StopTasks>(&message))
+        vms.stop(*stop, vmActions);
+    else if (const auto* claim = std::get_if<HomeClaim>(&message))
+        send(daemon, from, vms.claim(m_ignoresFloors ? HomeClaim { claim->shard, 0 } : *claim));
+    else if (const auto* claimed = std::get_if<HomeClaimReply>(&message))
+        jobs.onClaimReply(from, *claimed, m_now, jobActions);
+    else if (const auto* owned = std::get_if<VmOwned>(&message)) {
+        if (from != daemon.name)
+            vms.onOwnedElsewhere(*owned);
+        jobs.onVmOwned(from, *owned, m_now, jobActions);
+    } else if (const auto* lost = std::get_if<VmLost>(&message)) {
+        if (from != daemon.name)
+            vms.onLostElsewhere(*lost);
+        jobs.onVmLost(*lost, m_now, jobActions);
+    }
+    perform(daemon, std::move(vmActions));
+    perform(daemon, std::move(jobActions));
+}
+
+void World::callLease(Daemon& daemon, const LeaseCall& call)
+{
+    const auto sentAt = m_now;
+    atWorld(delay(), [this, &daemon, call, sentAt] {
+        Result<OwnerLeaseAnswer> answer = ErrorKind::OutcomeUnknown;
+        const bool isFrozen = m_now < m_frozenUntil[call.vm];
+        if (!isFrozen)
+            answer = m_vms.at(call.vm).lease(call.ask, m_now);
+        atDaemon(daemon, isFrozen ? Duration(Seconds(2)) : delay(), [this, &daemon, call, sentAt, answer] {
+            OwnershipActions actions;
+            daemon.vms->onLease(call.vm, call.ask, sentAt, answer, m_now, actions);
+            perform(daemon, std::move(actions));
+        });
+    });
+}
+
+void World::callStart(Daemon& daemon, const StartCall& call)
+{
+    const auto runTime = Milliseconds(std::uniform_int_distribution<int>(100, 8000)(m_random));
+    // The check and the send are two steps: a pause may fall between them.
+    const bool isLate = m_now >= call.sendBefore;
+    const auto pauseBeforeSend = std::max(Duration {}, daemon.pausedUntil - m_now);
+    atWorld(delay() + pauseBeforeSend, [this, &daemon, call, runTime, isLate] {
+        auto kind = ErrorKind::NoEndpoint;
+        const bool isFrozen = m_now < m_frozenUntil[call.vm];
+        if (!isLate && !isFrozen) {
+            kind = m_vms.at(call.vm).start(call.start, m_now, runTime);
+            if (std::uniform_int_distribution<int>(0, 9)(m_random) == 0)
+                kind = ErrorKind::OutcomeUnknown;
+        }
+        atDaemon(daemon, delay(), [this, &daemon, call, kind] {
+            OwnershipActions actions;
+            daemon.vms->onStarted(call.vm, call.start.task.id, kind == ErrorKind::None ? std::error_code() : make_error_code(kind), m_now, actions);
+            perform(daemon, std::move(actions));
+        });
+    });
+}
+
+void World::callStore(Daemon& daemon, const AppendJournal& append)
+{
+    atWorld(delay(), [this, &daemon, append] {
+        auto outcome = AppendOutcome::Unknown;
+        if (m_now >= m_storeDownUntil) {
+            const auto key = journalKey(append.shard, append.entry.sequence);
+            const auto [stored, isNew] = m_store.try_emplace(key, append.entry);
+            outcome = stored->second.nonce == append.entry.nonce ? AppendOutcome::Written : AppendOutcome::Taken;
+            if (m_now < m_answersLostUntil)
+                outcome = AppendOutcome::Unknown;
+        }
+        atDaemon(daemon, delay(), [this, &daemon, append, outcome] {
+            JobActions actions;
+            daemon.jobs->onAppended(append.shard, append.entry.sequence, outcome, m_now, actions);
+            perform(daemon, std::move(actions));
+        });
+    });
+}
+
+void World::callAllotment(Daemon& daemon, const AllotmentChange& change)
+{
+    atWorld(delay(), [this, &daemon, change] {
+        Result<std::uint32_t> held = ErrorKind::StoreUnavailable;
+        if (m_now >= m_storeDownUntil) {
+            held = applyAllotment(m_limit, change);
+            if (m_now < m_answersLostUntil)
+                held = ErrorKind::OutcomeUnknown;
+        }
+        atDaemon(daemon, delay(), [this, &daemon, change, held] { daemon.limits->onChanged(change, held, m_now); });
+    });
+}
+
+void World::perform(Daemon& daemon, OwnershipActions&& actions)
+{
+    for (const auto& action : actions) {
+        if (const auto* lease = std::get_if<LeaseCall>(&action))
+            callLease(daemon, *lease);
+        else if (const auto* start = std::get_if<StartCall>(&action))
+            callStart(daemon, *start);
+        else if (const auto* order = std::get_if<OrderCall>(&action)) {
+            if (order->order == TaskOrder::Stop && m_now >= m_frozenUntil[order->vm])
+                m_vms.at(order->vm).stop(order->task, order->ownerEpoch);
+        } else if (const auto* notice = std::get_if<DomainNotice>(&action))
+            std::visit([&](const auto& typed) { send(daemon, {}, typed); }, notice->notice);
+    }
+}
+
+void World::perform(Daemon& daemon, JobActions&& actions)
+{
+    for (const auto& action : actions) {
+        if (const auto* read = std::get_if<ReadJournal>(&action)) {
+            atWorld(delay(), [this, &daemon, shard = read->shard] {
+                Result<std::vector<JournalEntry>> entries = ErrorKind::StoreUnavailable;
+                if (m_now >= m_storeDownUntil) {
+                    std::vector<JournalEntry> found;
+                    for (const auto& [key, entry] : m_store) {
+                        if (key.starts_with(journalPrefix(shard)))
+                            found.push_back(entry);
+                    }
+                    entries = std::move(found);
+                }
+                atDaemon(daemon, delay(), [this, &daemon, shard, entries] {
+                    JobActions next;
+                    daemon.jobs->onJournalRead(shard, entries, m_now, next);
+                    perform(daemon, std::move(next));
+                });
+            });
+        } else if (const auto* append = std::get_if<AppendJournal>(&action))
+            callStore(daemon, *append);
+        else if (const auto* message = std::get_if<SendToOwner>(&action))
+            send(daemon, message->daemon, message->message);
+        else if (const auto* durable = std::get_if<Durable>(&action); durable && durable->token != 0)
+            m_accepted.insert(durable->token);
+    }
+}
+
+void World::submit(Daemon& daemon)
+{
+    const auto shard = daemon.jobs->shardForNewJob();
+    if (shard.empty() || m_submitted >= jobCount)
+        return;
+    JobSpec spec;
+    spec.team = team;
+    spec.queue = "q";
+    spec.className = "c";
+    spec.perTask = { 1, 100, 0 };
+    spec.tasks = 1 + m_submitted % 3;
+    spec.gang = m_submitted % 2 == 0;
+    JobActions actions;
+    const auto accepted = daemon.jobs->submit(shard, spec, m_submitted + 1, m_now, actions);
+    if (accepted)
+        ++m_submitted;
+    perform(daemon, std::move(actions));
+}
+
+void World::tickDaemon(Daemon& daemon)
+{
+    if (m_now - daemon.lastTick >= Seconds(2) && daemon.lastTick != TimePoint {})
+        daemon.jobs->revalidate();
+    daemon.lastTick = m_now;
+    auto waiting = std::move(daemon.inbox);
+    daemon.inbox.clear();
+    for (const auto& body : waiting)
+        body();
+    std::vector<std::string> peers { daemon.name };
+    std::map<std::string, ShardHome> homes;
+    std::vector<OwnerRoom> room { { daemon.name, daemon.vms->totalFree(m_now), daemon.vms->largestFree(m_now) } };
+    for (const auto& other : m_daemons) {
+        if (other.get() == &daemon || !takesForAlive(daemon, *other))
+            continue;
+        peers.push_back(other->name);
+        room.push_back({ other->name, other->vms->totalFree(m_now), other->vms->largestFree(m_now) });
+        for (const auto& home : other->jobs->homes())
+            homes[home.shard] = home;
+    }
+    std::sort(peers.begin(), peers.end());
+    daemon.vms->setOwners(peers);
+    std::vector<VmInfo> list;
+    for (const auto& [id, vm] : m_vms)
+        list.push_back(vm.info());
+    daemon.vms->setVmList(list, m_now);
+    daemon.jobs->setPeers(peers, homes, m_now);
+    daemon.jobs->setRoom(std::move(room));
+    OwnershipActions vmActions;
+    daemon.vms->tick(m_now, vmActions);
+    perform(daemon, std::move(vmActions));
+    for (const auto& reports : daemon.vms->dueReports(m_now))
+        send(daemon, {}, reports);
+    JobActions jobActions;
+    daemon.jobs->tick(m_now, jobActions);
+    perform(daemon, std::move(jobActions));
+    for (const auto& change : daemon.limits->tick(m_now))
+        callAllotment(daemon, change);
+    submit(daemon);
+}
+
+void World::begin(const FaultStep& step)
+{
+    auto& daemon = *m_daemons[step.target % m_daemons.size()];
+    const auto until = m_now + Seconds(step.seconds);
+    const auto vm = "vm" + std::to_string(step.target % m_vms.size());
+    switch (step.fault) {
+    case Fault::None:
+        return;
+    case Fault::PauseDaemon:
+        daemon.downSince = isUp(daemon) ? m_now : daemon.downSince;
+        daemon.pausedUntil = std::max(daemon.pausedUntil, until);
+        return;
+    case Fault::KillDaemon:
+        daemon.downSince = isUp(daemon) ? m_now : daemon.downSince;
+        daemon.deadUntil = std::max(daemon.deadUntil, until);
+        daemon.pausedUntil = {};
+        restart(daemon);
+        return;
+    case Fault::CutDaemons:
+        m_cutSince = m_now < m_cutUntil ? m_cutSince : m_now;
+        m_cutUntil = std::max(m_cutUntil, until);
+        return;
+    case Fault::StoreDown:
+        m_storeDownUntil = std::max(m_storeDownUntil, until);
+        return;
+    case Fault::StoreLosesAnswers:
+        m_answersLostUntil = std::max(m_answersLostUntil, until);
+        return;
+    case Fault::FreezeVm:
+        m_frozenUntil[vm] = std::max(m_frozenUntil[vm], until);
+        return;
+    case Fault::RestartVm:
+        m_vms.at(vm).restart();
+        return;
+    case Fault::CancelJob:
+        for (const auto& job : daemon.jobs->list({}, {}, 1)) {
+            JobActions actions;
+            (void)daemon.jobs->cancel(job->spec.id, 0, m_now, actions);
+            perform(daemon, std::move(actions));
+        }
+        return;
+    }
+}
+
+void World::step()
+{
+    m_now += stepTime;
+    while (!m_events.empty() && m_events.front().due <= m_now) {
+        std::pop_heap(m_events.begin(), m_events.end());
+        const auto event = std::move(m_events.back());
+        m_events.pop_back();
+        event.run();
+    }
+    for (auto& [id, vm] : m_vms)
+        vm.tick(m_now);
+    for (auto& daemon : m_daemons) {
+        if (isUp(*daemon))
+            tickDaemon(*daemon);
+    }
+}
+
+std::string World::brokenPromise()
+{
+    std::map<std::string, std::string> runningOn;
+    std::uint32_t running = 0;
+    for (const auto& [name, vm] : m_vms) {
+        Resources used;
+        for (const auto& [id, task] : vm.tasks()) {
+            const auto taskName = task.attempt.job + "#" + std::to_string(task.attempt.index);
+            if (task.state == TaskState::Succeeded && task.told)
+                m_toldDone.insert(id);
+            if (isFinal(task.state))
+                continue;
+            ++running;
+            used += task.attempt.size;
+            if (!runningOn.try_emplace(taskName, name).second)
+                return taskName + " runs in two places: " + runningOn[taskName] + " and " + name;
+            for (const auto& done : m_toldDone) {
+                if (done != id && jobOf(done) == task.attempt.job && done.substr(0, done.rfind('.')) == id.substr(0, id.rfind('.')))
+                    return taskName + " runs again after it had succeeded";
+            }
+        }
+        if (!used.fitsIn(vm.info().capacity))
+            return name + " is overcommitted";
+    }
+    if (running > teamLimit)
+        return "the team has " + std::to_string(running) + " running";
+    return {};
+}
+
+bool World::allDone() const
+{
+    std::size_t known = 0;
+    for (const auto& daemon : m_daemons) {
+        for (const auto* const job : daemon->jobs->list({}, {}, 1000)) {
+            ++known;
+            if (!isFinal(job->state))
+                return false;
+        }
+    }
+    // A job whose submitter was never answered may be gone with its daemon.
+    return m_submitted == jobCount && known >= m_accepted.size();
+}
+
+void traceFault(const FaultStep& f, TimePoint now) { if (getenv("TRACE")) fprintf(stderr, "%ld FAULT %d target %d sec %d\n", long(now.time_since_epoch().count()/1000000), int(f.fault), int(f.target), int(f.seconds)); }
+std::string World::unfinished() const
+{
+    std::string text = std::to_string(m_submitted) + " submitted, " + std::to_string(m_accepted.size()) + " accepted;";
+    text += " limit " + Json(m_limit).dump() + ";";
+    for (const auto& daemon : m_daemons) {
+        for (const auto& home : daemon->jobs->homes())
+            text += " " + daemon->name + " is home of " + home.shard + " epoch " + std::to_string(home.epoch) + ";";
+        for (const auto* const job : daemon->jobs->list({}, {}, 1000)) {
+            if (!isFinal(job->state))
+                text += " " + job->spec.id + " at " + daemon->name + ": " + job->reason + ", " + std::to_string(job->pending()) + " pending, " + std::to_string(job->active()) + " active;";
+        }
+    }
+    return text;
+}
+
+std::string World::run(const std::vector<FaultStep>& faults, Milliseconds gap)
+{
+    std::size_t next = 0;
+    auto nextFault = m_now + Seconds(8);
+    const auto end = m_now + longestRun;
+    while (m_now < end) {
+        if (next < faults.size() && m_now >= nextFault) {
+            traceFault(faults[next], m_now); begin(faults[next++]);
+            nextFault = m_now + gap;
+        }
+        step();
+        auto broken = brokenPromise();
+        if (!broken.empty())
+            return broken + " at " + std::to_string(std::chrono::duration_cast<Milliseconds>(m_now.time_since_epoch()).count()) + " ms";
+        if (next == faults.size() && allDone())
+            return {};
+    }
+    return "not all jobs have ended: " + unfinished();
+}
+
+} // namespace heatherchute
--- /dev/null
+++ b/unittests/Jobs/World.h
@@ -0,0 +1,147 @@
+/// A small world for random interleavings: the pure desks of two daemons, VMs that check
+/// epochs, a store, and messages that are late or lost. Time is virtual.
+#pragma once
+
+#include "heatherchute/Jobs.h"
+#include "heatherchute/Ownership.h"
+
+#include <functional>
+#include <random>
+
+namespace heatherchute {
+
+/// What goes wrong, and to whom.
+enum class Fault : std::uint8_t {
+    None,
+    PauseDaemon,
+    KillDaemon,
+    CutDaemons,
+    StoreDown,
+    StoreLosesAnswers,
+    FreezeVm,
+    RestartVm,
+    CancelJob,
+};
+
+/// One fault: it begins when the step is reached and lasts for `seconds`.
+struct FaultStep {
+    Fault fault = Fault::None;
+    std::uint32_t target = 0;
+    std::uint32_t seconds = 1;
+};
+
+/// A worker with its own rules, as docs/PLATFORM.md states them.
+class ModelVm {
+public:
+    explicit ModelVm(VmInfo info)
+        : m_info(std::move(info))
+    {
+    }
+
+    OwnerLeaseAnswer lease(const OwnerLeaseAsk& ask, TimePoint now);
+    ErrorKind start(const TaskStart& start, TimePoint now, Milliseconds runTime);
+    void stop(const std::string& task, std::uint64_t epoch);
+    void tick(TimePoint now);
+    void restart();
+
+    struct Task {
+        TaskAttempt attempt;
+        TaskState state = TaskState::Running;
+        TimePoint endsAt;
+        std::uint64_t report = 0;
+        bool told = false;
+    };
+    const std::map<std::string, Task>& tasks() const { return m_tasks; }
+    const VmInfo& info() const { return m_info; }
+
+private:
+    void end(Task& task, TaskState state);
+
+    VmInfo m_info;
+    int m_boot = 1;
+    std::string m_owner;
+    std::uint64_t m_epoch = 0;
+    TimePoint m_ownedUntil;
+    TimePoint m_tasksUntil;
+    std::uint64_t m_report = 0;
+    std::map<std::string, Task> m_tasks;
+    std::map<std::string, std::uint64_t> m_floors;
+};
+
+class World {
+public:
+    explicit World(std::uint32_t seed);
+
+    /// Runs the faults one after the other, `gap` apart, then heals everything and runs on.
+    /// Returns the first broken promise, or an empty text.
+    std::string run(const std::vector<FaultStep>& faults, Milliseconds gap);
+    /// Turns one protection off, to show that the check can fail.
+    void ignoreFloors() { m_ignoresFloors = true; }
+
+private:
+    struct Daemon {
+        std::string name;
+        std::unique_ptr<LimitDesk> limits;
+        std::unique_ptr<VmDesk> vms;
+        std::unique_ptr<JobDesk> jobs;
+        TimePoint pausedUntil;
+        TimePoint deadUntil;
+        TimePoint downSince;
+        TimePoint lastTick;
+        std::deque<std::function<void()>> inbox;
+        std::uint32_t life = 0;
+    };
+    struct Event {
+        TimePoint due;
+        std::uint64_t order = 0;
+        std::function<void()> run;
+
+        bool operator<(const Event& other) const { return due != other.due ? due > other.due : order > other.order; }
+    };
+
+    void begin(const FaultStep& step);
+    void step();
+    void tickDaemon(Daemon& daemon);
+    void restart(Daemon& daemon);
+    void submit(Daemon& daemon);
+    bool isUp(const Daemon& daemon) const { return m_now >= daemon.pausedUntil && m_now >= daemon.deadUntil; }
+    bool takesForAlive(const Daemon& daemon, const Daemon& other) const;
+    Duration delay();
+    /// Runs `body` at the daemon after a delay, later if it is paused, never if it has died.
+    void atDaemon(Daemon& daemon, Duration after, std::function<void()> body);
+    void atWorld(Duration after, std::function<void()> body);
+    void send(Daemon& from, const std::string& to, const PeerMessage& message);
+    void receive(Daemon& daemon, const std::string& from, const PeerMessage& message);
+    void perform(Daemon& daemon, OwnershipActions&& actions);
+    void perform(Daemon& daemon, JobActions&& actions);
+    void callLease(Daemon& daemon, const LeaseCall& call);
+    void callStart(Daemon& daemon, const StartCall& call);
+    void callStore(Daemon& daemon, const AppendJournal& append);
+    void callAllotment(Daemon& daemon, const AllotmentChange& change);
+    Daemon& daemonNamed(const std::string& name);
+    std::string brokenPromise();
+    bool allDone() const;
+    std::string unfinished() const;
+
+    std::mt19937 m_random;
+    TimePoint m_now;
+    std::uint64_t m_order = 0;
+    std::vector<Event> m_events;
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+    std::map<std::string, ModelVm> m_vms;
+    std::map<std::string, TimePoint> m_frozenUntil;
+    std::map<std::pair<std::string, std::string>, TimePoint> m_lastDelivery;
+    std::map<std::string, JournalEntry> m_store;
+    LimitRecord m_limit;
+    TimePoint m_storeDownUntil;
+    TimePoint m_answersLostUntil;
+    TimePoint m_cutUntil;
+    TimePoint m_cutSince;
+    /// Tokens of the jobs that submitters were told are accepted.
+    std::set<std::uint64_t> m_accepted;
+    std::set<std::string> m_toldDone;
+    std::uint32_t m_submitted = 0;
+    bool m_ignoresFloors = false;
+};
+
+} // namespace heatherchute
