--- a/lib/Platform/EtcdStore.cpp
+++ b/lib/Platform/EtcdStore.cpp
@@ -45,15 +45,28 @@
     return Answer { std::move(answer) };
 }
 
+/// Reads an answer; OutcomeUnknown when it has fields of the wrong types.
+template <typename Value, typename Read>
+static Result<Value> readAnswer(Read read)
+{
+    try {
+        return read();
+    } catch (const Json::exception&) {
+        return ErrorKind::OutcomeUnknown;
+    }
+}
+
 Result<std::optional<StoreEntry>> EtcdStore::get(const std::string& key)
 {
     const auto answer = call("/v3/kv/range", { { "key", encodeBase64(key) } });
     if (!answer)
         return answer.error();
-    const auto kvs = answer.value().body.value("kvs", Json::array());
-    if (kvs.empty())
-        return std::optional<StoreEntry>();
-    return std::optional<StoreEntry>(entryOf(kvs.front()));
+    return readAnswer<std::optional<StoreEntry>>([&answer]() -> std::optional<StoreEntry> {
+        const auto kvs = answer.value().body.value("kvs", Json::array());
+        if (kvs.empty())
+            return std::nullopt;
+        return entryOf(kvs.front());
+    });
 }
 
 Result<std::vector<StoreEntry>> EtcdStore::list(const std::string& prefix)
@@ -61,10 +74,12 @@
     const auto answer = call("/v3/kv/range", { { "key", encodeBase64(prefix) }, { "range_end", encodeBase64(endOfPrefix(prefix)) } });
     if (!answer)
         return answer.error();
-    std::vector<StoreEntry> entries;
-    for (const auto& kv : answer.value().body.value("kvs", Json::array()))
-        entries.push_back(entryOf(kv));
-    return entries;
+    return readAnswer<std::vector<StoreEntry>>([&answer] {
+        std::vector<StoreEntry> entries;
+        for (const auto& kv : answer.value().body.value("kvs", Json::array()))
+            entries.push_back(entryOf(kv));
+        return entries;
+    });
 }
 
 Result<bool> EtcdStore::compareAndPut(const std::vector<StoreWrite>& writes)
@@ -82,7 +97,7 @@
     const auto answer = call("/v3/kv/txn", { { "compare", compare }, { "success", success } });
     if (!answer)
         return answer.error();
-    return answer.value().body.value("succeeded", false);
+    return readAnswer<bool>([&answer] { return answer.value().body.value("succeeded", false); });
 }
 
 std::error_code EtcdStore::watch(const std::string& key, Milliseconds idleTimeout, const std::function<void(const StoreEntry&)>& onChange)
@@ -90,13 +105,16 @@
     const Json body { { "create_request", { { "key", encodeBase64(key) } } } };
     const HttpRequest request { "POST", "/v3/watch", { { "Content-Type", "application/json" } }, body.dump() };
     return m_client.stream(m_address, request, idleTimeout, [&onChange](std::string_view line) {
-        const auto message = Json::parse(line, nullptr, false);
-        if (!message.is_object() || !message.contains("result"))
-            return true;
-        for (const auto& event : message["result"].value("events", Json::array())) {
-            if (event.contains("kv"))
-                onChange(entryOf(event["kv"]));
-        }
+        const auto entries = readAnswer<std::vector<StoreEntry>>([line] {
+            std::vector<StoreEntry> changed;
+            for (const auto& event : Json::parse(line).value("result", Json::object()).value("events", Json::array()))
+                changed.push_back(entryOf(event.at("kv")));
+            return changed;
+        });
+        if (!entries)
+            return false;
+        for (const auto& entry : entries.value())
+            onChange(entry);
         return true;
     });
 }
--- a/lib/Wire/Wire.cpp
+++ b/lib/Wire/Wire.cpp
@@ -13,7 +13,12 @@
 {
     constexpr bool strict = true;
     constexpr bool allowExceptions = false;
-    return fromTagged<PeerMessage>(Json::from_cbor(bytes.begin(), bytes.end(), strict, allowExceptions));
+    try {
+        return fromTagged<PeerMessage>(Json::from_cbor(bytes.begin(), bytes.end(), strict, allowExceptions));
+    } catch (const Json::exception&) {
+        // Thrown all the same for containers that claim to be larger than memory.
+        return ErrorKind::BadRequest;
+    }
 }
 
 /// Headers travel as name, value, name, value.
