Lower the bytes of control: rarer far heartbeats, lean leases, tagged VM list

Cause: measured on loopback with the idle traffic of the machine (56 KB/s) taken off, a daemon spends about 0.18 KB/s for each VM and, with 26 daemons at one heartbeat a second to all, 20 KB/s on heartbeats alone; the VM list was fetched whole every two seconds (300 KB/s at the target).

Ruled out: the store, at one call a second.

Change: heartbeats to other failure domains are up to four times rarer as the fleet grows, with suspicion to match; leases leave out fields that hold defaults and are renewed every 3.3 s; the VM list is asked with an entity tag.

Seen before: 50 VMs 75 KB/s, 800 VMs 209 KB/s (56 of each from the machine).

--- a/include/heatherchute/Membership.h
+++ b/include/heatherchute/Membership.h
@@ -77,6 +77,8 @@
     /// Names of daemons of this failure domain that may own things, itself included unless it leaves.
     std::vector<std::string> domainPeers() const;
     Members knownAddresses() const;
+    /// True when the heartbeat that is due goes to this member too.
+    bool isHeartbeatDue(const Member& member) const;
     void setLeaving() { m_leaving = true; }
 
 private:
@@ -91,10 +93,16 @@
 
     Hello m_self;
     MembershipTimes m_times;
+    /// Heartbeats to other failure domains are this many times rarer: all pairs of a large fleet
+    /// at the full rate would use up the daemons' budget.
+    int remoteFactor() const;
+    int factorOf(const Member& member) const;
+
     std::map<std::string, Member> m_members;
     std::map<Address, Dial> m_dials;
     TimePoint m_nextHeartbeat;
     TimePoint m_lastTick;
+    std::uint64_t m_round = 0;
     bool m_leaving = false;
     bool m_changed = false;
 };
--- a/include/heatherchute/Ownership.h
+++ b/include/heatherchute/Ownership.h
@@ -15,8 +15,8 @@
 
 struct OwnershipTimes {
     /// Ownership that is not renewed lapses after this.
-    Milliseconds ownerLease { 8000 };
-    Milliseconds renewInterval { 2500 };
+    Milliseconds ownerLease { 10'000 };
+    Milliseconds renewInterval { 3300 };
     /// Time before the lapse, by our clock, from which nothing more is sent under it.
     Milliseconds ownerMargin { 1000 };
     /// Tasks end by themselves after this time without a renewal by any owner.
--- a/include/heatherchute/Platform.h
+++ b/include/heatherchute/Platform.h
@@ -76,6 +76,8 @@
         } -> std::same_as<Result<std::vector<VmInfo>>>;
 };
 
+/// The list by HTTP. Where the platform gives entity tags, an unchanged list costs one small
+/// answer.
 class HttpVmList {
 public:
     HttpVmList(HttpClient& client, Address address);
@@ -84,6 +86,8 @@
 private:
     HttpClient& m_client;
     Address m_address;
+    std::string m_tag;
+    std::vector<VmInfo> m_last;
 };
 static_assert(VmLister<HttpVmList>);
 
--- a/include/heatherchute/Support.h
+++ b/include/heatherchute/Support.h
@@ -145,6 +145,10 @@
 /// Empty for texts that are no valid base64.
 std::string decodeBase64(std::string_view text);
 
+/// Drops the fields of an object that hold what a reader with defaults assumes anyway: false,
+/// zero, and empty texts and lists.
+Json withoutDefaults(Json object);
+
 /// A variant as [number of the alternative, its JSON].
 template <typename Variant>
 Json toTagged(const Variant& value)
--- a/lib/Daemon/Core.cpp
+++ b/lib/Daemon/Core.cpp
@@ -7,7 +7,7 @@
 /// Between two ticks this much time passes only when the process was paused.
 static constexpr Milliseconds pauseTime { 2000 };
 static constexpr Milliseconds fleetPollInterval { 1000 };
-static constexpr Milliseconds vmListInterval { 2000 };
+static constexpr Milliseconds vmListInterval { 5000 };
 static constexpr Seconds holderListInterval { 30 };
 /// Longer than any request may run and any heartbeat takes to be missed.
 static constexpr Seconds holderAbsence { 75 };
@@ -107,8 +107,9 @@
         m_ports.toPeers(dial);
     }
     // A new home is announced at once: callers are waiting for it.
-    if (actions.heartbeatDue || m_jobs.homes().size() != m_homesAnnounced)
-        sendHeartbeats(now);
+    const bool isNews = m_jobs.homes().size() != m_homesAnnounced;
+    if (actions.heartbeatDue || isNews)
+        sendHeartbeats(now, isNews);
     refreshMembers();
 }
 
@@ -327,7 +328,7 @@
     m_vms.setLeaving();
     m_jobs.setLeaving();
     m_limits.setLeaving();
-    sendHeartbeats(m_stopSince);
+    sendHeartbeats(m_stopSince, true);
 }
 
 void Core::tickShutdown(TimePoint now)
--- a/lib/Daemon/Core.h
+++ b/lib/Daemon/Core.h
@@ -79,7 +79,7 @@
     void sendToDomain(const PeerMessage& message);
     void deliverToSelf();
     void sendOnLink(LinkId link, PeerMessage message);
-    void sendHeartbeats(TimePoint now);
+    void sendHeartbeats(TimePoint now, bool toAll);
     void resendRelays(const std::string& daemon);
     void failRelaysOf(const std::string& daemon, const std::string& boot);
     void expireRelays(TimePoint now);
--- a/lib/Daemon/CorePeers.cpp
+++ b/lib/Daemon/CorePeers.cpp
@@ -109,7 +109,7 @@
     run(std::move(actions));
 }
 
-void Core::sendHeartbeats(TimePoint now)
+void Core::sendHeartbeats(TimePoint now, bool toAll)
 {
     const auto sequence = ++m_heartbeatSequence;
     m_heartbeatSentAt[sequence] = now;
@@ -130,7 +130,7 @@
     heartbeat.free = m_vms.totalFree(now);
     heartbeat.largestFree = m_vms.largestFree(now);
     for (const auto& [name, member] : m_membership.members()) {
-        if (member.link == 0 || isCut(name))
+        if (member.link == 0 || isCut(name) || !(toAll || m_membership.isHeartbeatDue(member)))
             continue;
         heartbeat.echo = member.lastSequence;
         sendOnLink(member.link, heartbeat);
--- a/lib/Daemon/Events.h
+++ b/lib/Daemon/Events.h
@@ -155,5 +155,7 @@
 struct Overloaded : Handlers... {
     using Handlers::operator()...;
 };
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
 } // namespace heatherchute
--- a/lib/Daemon/Links.cpp
+++ b/lib/Daemon/Links.cpp
@@ -9,7 +9,7 @@
     , m_duty("peer")
     , m_transport(m_duty.io(),
           { [this](LinkId link, bool outgoing) { tell(PeerOpened { link, outgoing }); },
-              [this](LinkId link, std::string message) { received(link, message); },
+              [this](LinkId link, const std::string& message) { received(link, message); },
               [this](LinkId link) { tell(PeerClosed { link }); } })
     , m_inbox(m_duty, inboxCapacity, [this](PeerOrder&& order) { handle(std::move(order)); })
 {
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -101,7 +101,9 @@
         }
         message.body() = std::move(response.body);
         message.keep_alive(keepAlive);
-        message.prepare_payload();
+        constexpr unsigned notModified = 304;
+        if (message.result_int() != notModified)
+            message.prepare_payload();
         return message;
     }
 
--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -14,6 +14,10 @@
 /// Addresses remembered at most, so that a peer cannot make us dial without end.
 static constexpr std::size_t maxAddresses = 512;
 
+/// Other daemons for each step by which heartbeats to other failure domains become rarer.
+static constexpr int membersPerStep = 6;
+static constexpr int maxRemoteFactor = 4;
+
 std::string_view memberStateName(MemberState state) { return nameOf(memberStateNames, state); }
 
 Membership::Membership(Hello self, std::vector<Address> seeds, MembershipTimes times)
@@ -126,6 +130,21 @@
     return known;
 }
 
+int Membership::remoteFactor() const
+{
+    return std::clamp(static_cast<int>(m_members.size()) / membersPerStep, 1, maxRemoteFactor);
+}
+
+int Membership::factorOf(const Member& member) const
+{
+    return member.hello.failureDomain == m_self.failureDomain ? 1 : remoteFactor();
+}
+
+bool Membership::isHeartbeatDue(const Member& member) const
+{
+    return m_round % static_cast<std::uint64_t>(factorOf(member)) == 0;
+}
+
 bool Membership::isLinkedTo(const Address& address) const
 {
     const auto text = addressText(address);
@@ -139,14 +158,15 @@
     for (auto it = m_members.begin(); it != m_members.end();) {
         auto& member = it->second;
         const auto silence = now - member.lastHeard;
-        if (silence >= m_times.suspectAfter && member.link != 0) {
+        const auto factor = factorOf(member);
+        if (silence >= m_times.suspectAfter * factor && member.link != 0) {
             actions.drops.push_back(member.link);
             member.link = 0;
         }
         const auto before = member.state;
-        if (silence >= m_times.deadAfter)
+        if (silence >= m_times.deadAfter * factor)
             member.state = MemberState::Dead;
-        else if (silence >= m_times.suspectAfter && member.state == MemberState::Alive)
+        else if (silence >= m_times.suspectAfter * factor && member.state == MemberState::Alive)
             member.state = MemberState::Suspect;
         m_changed = m_changed || (before != member.state && member.state == MemberState::Dead);
         const bool isForgotten = silence >= m_times.forgetAfter;
@@ -172,6 +192,7 @@
     }
     if (now >= m_nextHeartbeat) {
         actions.heartbeatDue = true;
+        ++m_round;
         m_nextHeartbeat = now + m_times.heartbeatInterval;
     }
     actions.changed = m_changed;
--- a/lib/Platform/Endpoint.cpp
+++ b/lib/Platform/Endpoint.cpp
@@ -27,12 +27,23 @@
 
 Result<std::vector<VmInfo>> HttpVmList::fetch()
 {
-    const auto response = m_client.call(m_address, { "GET", "/v1/vms", {}, {} }, {});
+    HttpRequest request { "GET", "/v1/vms", {}, {} };
+    if (!m_tag.empty())
+        request.headers.push_back({ "If-None-Match", m_tag });
+    const auto response = m_client.call(m_address, request, {});
     if (!response)
         return response.error();
+    constexpr unsigned notModified = 304;
+    if (response.value().status == notModified)
+        return m_last;
     if (response.value().status != 200)
         return ErrorKind::StoreUnavailable;
-    return parseMessage<std::vector<VmInfo>>(response.value().body);
+    auto vms = parseMessage<std::vector<VmInfo>>(response.value().body);
+    if (vms) {
+        m_last = vms.value();
+        m_tag = std::string(findHeader(response.value().headers, "ETag"));
+    }
+    return vms;
 }
 
 HttpEndpoint::HttpEndpoint(HttpClient& client)
@@ -42,7 +53,7 @@
 
 Result<OwnerLeaseAnswer> HttpEndpoint::lease(const Address& address, const OwnerLeaseAsk& ask, Milliseconds timeout)
 {
-    const auto response = m_client.call(address, { "PUT", "/v1/owner", {}, Json(ask).dump() }, { timeout, 4U << 20 });
+    const auto response = m_client.call(address, { "PUT", "/v1/owner", {}, withoutDefaults(ask).dump() }, { timeout, 4U << 20 });
     if (!response)
         return response.error();
     if (response.value().status != 200)
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -55,6 +55,15 @@
     }
 }
 
+Json withoutDefaults(Json object)
+{
+    for (auto it = object.begin(); it != object.end();) {
+        const bool isDefault = it->empty() || *it == false || *it == 0 || *it == "";
+        it = isDefault ? object.erase(it) : std::next(it);
+    }
+    return object;
+}
+
 Result<std::string> readFile(const std::string& path)
 {
     std::ifstream file(path, std::ios::binary);
--- a/tools/standin-endpoint/Worker.cpp
+++ b/tools/standin-endpoint/Worker.cpp
@@ -110,7 +110,7 @@
     const bool isStale = ask.epoch != 0 && ask.epoch != m_ownerEpoch;
     if (heldByOther || isStale) {
         answer.remainingMs = heldByOther ? static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(m_ownerUntil - now).count()) : 0;
-        return jsonResponse(200, answer);
+        return jsonResponse(200, withoutDefaults(answer));
     }
     grantLease(ask);
     answer.granted = true;
@@ -122,7 +122,7 @@
         for (const auto& [shard, epoch] : m_floors)
             answer.floors.push_back({ shard, epoch });
     }
-    return jsonResponse(200, answer);
+    return jsonResponse(200, withoutDefaults(answer));
 }
 
 HttpResponse Worker::startTask(const std::string& id, const TaskStart& start)
--- a/tools/standin-vmlist/main.cpp
+++ b/tools/standin-vmlist/main.cpp
@@ -31,6 +31,7 @@
 
     private:
         void change();
+        HttpResponse show(const HttpRequest& request) const;
 
         std::vector<VmInfo> m_shown;
         std::vector<VmInfo> m_actual;
@@ -44,6 +45,16 @@
         m_pending.push_back({ Clock::now() + m_lag, m_actual });
     }
 
+    HttpResponse StandinVmList::show(const HttpRequest& request) const
+    {
+        auto response = jsonResponse(200, m_shown);
+        const auto tag = "\"" + std::to_string(stableHash(response.body)) + "\"";
+        if (findHeader(request.headers, "If-None-Match") == tag)
+            return { 304, { { "ETag", tag } }, {}, {} };
+        response.headers.push_back({ "ETag", tag });
+        return response;
+    }
+
     HttpResponse StandinVmList::handle(const HttpRequest& request)
     {
         for (const auto& pending : m_pending) {
@@ -51,7 +62,7 @@
                 m_shown = pending.vms;
         }
         if (request.target == "/v1/vms")
-            return jsonResponse(200, m_shown);
+            return show(request);
         const auto body = Json::parse(request.body, nullptr, false);
         if (body.is_discarded())
             return errorResponse(ErrorKind::BadJson);
--- a/unittests/Membership/MembershipTest.cpp
+++ b/unittests/Membership/MembershipTest.cpp
@@ -75,4 +75,28 @@
     CHECK(membership.domainPeers().empty());
 }
 
+TEST_CASE("a large fleet's far heartbeats are rarer, and silence is judged by that", "[membership]")
+{
+    const TimePoint start(Seconds(100));
+    Membership membership(helloOf("a", "1", 1), {});
+    for (std::uint16_t i = 0; i < 25; ++i) {
+        auto hello = helloOf("b" + std::to_string(i), "1", static_cast<std::uint16_t>(10 + i));
+        hello.failureDomain = i == 0 ? "d" : "far";
+        membership.onHello(100U + i, true, hello, start);
+    }
+    int near = 0;
+    int far = 0;
+    for (int second = 0; second < 8; ++second) {
+        CHECK(membership.tick(start + Seconds(second)).heartbeatDue);
+        near += membership.isHeartbeatDue(*membership.find("b0")) ? 1 : 0;
+        far += membership.isHeartbeatDue(*membership.find("b1")) ? 1 : 0;
+    }
+    CHECK(near == 8);
+    CHECK(far == 2);
+    CHECK(membership.find("b0")->state == MemberState::Dead);
+    CHECK(membership.find("b1")->state == MemberState::Alive);
+    membership.tick(start + Seconds(21));
+    CHECK(membership.find("b1")->state == MemberState::Dead);
+}
+
 } // namespace heatherchute
