--- a/lib/Peer/PeerTransport.cpp
+++ b/lib/Peer/PeerTransport.cpp
@@ -78,7 +78,7 @@
     endpoint.set_max_message_size(maxMessageBytes);
     endpoint.set_open_handshake_timeout(handshakeTimeoutMs);
     endpoint.set_close_handshake_timeout(handshakeTimeoutMs);
-    endpoint.set_tcp_post_init_handler([&endpoint](Handle handle) {
+    endpoint.set_tcp_post_init_handler([&endpoint](const Handle& handle) {
         websocketpp::lib::error_code error;
         const auto connection = endpoint.get_con_from_hdl(handle, error);
         boost::system::error_code ignored;
@@ -90,20 +90,20 @@
 template <typename Endpoint>
 void PeerTransport::State::addHandlers(Endpoint& endpoint, bool outgoing)
 {
-    endpoint.set_open_handler([this, outgoing](Handle handle) {
+    endpoint.set_open_handler([this, outgoing](const Handle& handle) {
         const auto link = find(handle);
         if (link == 0)
             return;
         links[link].open = true;
         events.onOpen(link, outgoing);
     });
-    endpoint.set_message_handler([this](Handle handle, typename Endpoint::message_ptr message) {
+    endpoint.set_message_handler([this](const Handle& handle, typename Endpoint::message_ptr message) {
         const auto link = find(handle);
         if (link != 0)
             events.onMessage(link, std::move(message->get_raw_payload()));
     });
-    endpoint.set_close_handler([this](Handle handle) { ended(handle); });
-    endpoint.set_fail_handler([this](Handle handle) { ended(handle); });
+    endpoint.set_close_handler([this](const Handle& handle) { ended(handle); });
+    endpoint.set_fail_handler([this](const Handle& handle) { ended(handle); });
 }
 
 PeerTransport::PeerTransport(boost::asio::io_context& io, PeerEvents events)
@@ -115,7 +115,7 @@
     state.addHandlers(state.server, false);
     state.addHandlers(state.client, true);
     state.server.set_reuse_addr(true);
-    state.server.set_validate_handler([&state](Handle handle) {
+    state.server.set_validate_handler([&state](const Handle& handle) {
         const auto link = state.nextLink++;
         state.byHandle[handle] = link;
         state.links[link].incoming = state.server.get_con_from_hdl(handle);
--- a/unittests/Jobs/World.cpp
+++ b/unittests/Jobs/World.cpp
@@ -101,7 +101,8 @@
 
 void World::receive(Daemon& daemon, const std::string& from, const PeerMessage& message)
 {
-    if (getenv("TRACE")) fprintf(stderr, "%ld %s->%s %s\n", long(m_now.time_since_epoch().count()/1000000), from.c_str(), daemon.name.c_str(), toTagged(message).dump().substr(0,600).c_str());
+    if (getenv("TRACE"))
+        fprintf(stderr, "%ld %s->%s %s\n", long(m_now.time_since_epoch().count() / 1000000), from.c_str(), daemon.name.c_str(), toTagged(message).dump().substr(0, 600).c_str());
     OwnershipActions vmActions;
     JobActions jobActions;
     auto& vms = *daemon.vms;
@@ -435,7 +436,11 @@
     return m_submitted == jobCount && known >= m_accepted.size();
 }
 
-void traceFault(const FaultStep& f, TimePoint now) { if (getenv("TRACE")) fprintf(stderr, "%ld FAULT %d target %d sec %d\n", long(now.time_since_epoch().count()/1000000), int(f.fault), int(f.target), int(f.seconds)); }
+void traceFault(const FaultStep& f, TimePoint now)
+{
+    if (getenv("TRACE"))
+        fprintf(stderr, "%ld FAULT %d target %d sec %d\n", long(now.time_since_epoch().count() / 1000000), int(f.fault), int(f.target), int(f.seconds));
+}
 std::string World::unfinished() const
 {
     std::string text = std::to_string(m_submitted) + " submitted, " + std::to_string(m_accepted.size()) + " accepted;";
@@ -458,7 +463,8 @@
     const auto end = m_now + longestRun;
     while (m_now < end) {
         if (next < faults.size() && m_now >= nextFault) {
-            traceFault(faults[next], m_now); begin(faults[next++]);
+            traceFault(faults[next], m_now);
+            begin(faults[next++]);
             nextFault = m_now + gap;
         }
         step();
