--- a/include/heatherchute/Membership.h
+++ b/include/heatherchute/Membership.h
@@ -56,7 +56,7 @@
 
 class Membership {
 public:
-    Membership(Hello self, std::vector<Address> seeds, MembershipTimes times = {});
+    Membership(Hello self, const std::vector<Address>& seeds, MembershipTimes times = {});
 
     /// A link said hello. Returns the link to drop, when there were two; zero otherwise.
     LinkNumber onHello(LinkNumber link, bool outgoing, const Hello& hello, TimePoint now);
--- a/lib/Jobs/Journal.cpp
+++ b/lib/Jobs/Journal.cpp
@@ -47,6 +47,7 @@
 std::vector<std::string> shardsOfDomain(const std::string& failureDomain)
 {
     std::vector<std::string> shards;
+    shards.reserve(shardsPerDomain);
     for (int i = 0; i < shardsPerDomain; ++i)
         shards.push_back(failureDomain + "." + std::to_string(i));
     return shards;
--- a/lib/Membership/Membership.cpp
+++ b/lib/Membership/Membership.cpp
@@ -20,7 +20,7 @@
 
 std::string_view memberStateName(MemberState state) { return nameOf(memberStateNames, state); }
 
-Membership::Membership(Hello self, std::vector<Address> seeds, MembershipTimes times)
+Membership::Membership(Hello self, const std::vector<Address>& seeds, MembershipTimes times)
     : m_self(std::move(self))
     , m_times(times)
 {
--- a/lib/Ownership/Slots.cpp
+++ b/lib/Ownership/Slots.cpp
@@ -74,6 +74,7 @@
         }
     }
     std::vector<ServiceRoom> list;
+    list.reserve(rooms.size());
     for (auto& [service, room] : rooms)
         list.push_back(std::move(room));
     return list;
--- a/lib/Ownership/Tasks.cpp
+++ b/lib/Ownership/Tasks.cpp
@@ -188,6 +188,7 @@
         }
     }
     std::vector<TaskReports> list;
+    list.reserve(byShard.size());
     for (auto& [shard, reports] : byShard)
         list.push_back(std::move(reports));
     return list;
--- a/lib/Routing/RequestDesk.cpp
+++ b/lib/Routing/RequestDesk.cpp
@@ -213,6 +213,7 @@
         return left.usage != right.usage ? left.usage < right.usage : left.deadline < right.deadline;
     });
     std::vector<std::string> teams;
+    teams.reserve(turns.size());
     for (const auto& turn : turns)
         teams.push_back(*turn.team);
     return teams;
