--- a/include/heatherchute/Http.h
+++ b/include/heatherchute/Http.h
@@ -117,11 +117,6 @@
     /// whole is closed, so a late answer reaches nobody.
     Result<HttpResponse> call(const Address& address, const HttpRequest& request, const HttpCallOptions& options);
 
-    /// One call whose response body is lines without an end, such as a watch. `onLine` returns
-    /// false to end the stream. Returns why it ended.
-    std::error_code stream(const Address& address, const HttpRequest& request, Milliseconds idleTimeout,
-        const std::function<bool(std::string_view)>& onLine);
-
 private:
     struct State;
     std::unique_ptr<State> m_state;
--- a/include/heatherchute/Jobs.h
+++ b/include/heatherchute/Jobs.h
@@ -306,7 +306,7 @@
         TimePoint until;
     };
 
-    // Shards.cpp
+    // Records.cpp and Shards.cpp
     void claimDue(TimePoint now, JobActions& actions);
     void tickShard(Shard& shard, TimePoint now, JobActions& actions);
     void replay(Shard& shard, const JournalRecord& record, TimePoint now);
--- a/include/heatherchute/Platform.h
+++ b/include/heatherchute/Platform.h
@@ -52,9 +52,6 @@
     /// All keys that start with `prefix`, in order of key.
     Result<std::vector<StoreEntry>> list(const std::string& prefix);
     Result<bool> compareAndPut(const std::vector<StoreWrite>& writes);
-    /// Reports changes of one key until the stream ends; returns why it did. A watch that says
-    /// nothing for `idleTimeout` ends too.
-    std::error_code watch(const std::string& key, Milliseconds idleTimeout, const std::function<void(const StoreEntry&)>& onChange);
 
 private:
     struct Answer {
--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -163,43 +163,4 @@
     return response;
 }
 
-std::error_code HttpClient::stream(const Address& address, const HttpRequest& request, Milliseconds idleTimeout,
-    const std::function<bool(std::string_view)>& onLine)
-{
-    auto connection = m_state->connect(address, idleTimeout);
-    if (!connection)
-        return ErrorKind::NoEndpoint;
-    auto& stream = connection->stream;
-    const auto message = toBeast(address, request);
-    stream.expires_after(idleTimeout);
-    const auto written = awaitIo([&](auto handler) { http::async_write(stream, message, std::move(handler)); });
-    if (written.error)
-        return ErrorKind::NoEndpoint;
-
-    http::response_parser<http::buffer_body> parser;
-    parser.body_limit(boost::none);
-    stream.expires_after(idleTimeout);
-    const auto head = awaitIo([&](auto handler) { http::async_read_header(stream, connection->buffer, parser, std::move(handler)); });
-    if (head.error || parser.get().result_int() != 200)
-        return ErrorKind::StoreUnavailable;
-
-    std::string pending;
-    std::array<char, 8192> chunk {};
-    while (!parser.is_done()) {
-        parser.get().body().data = chunk.data();
-        parser.get().body().size = chunk.size();
-        stream.expires_after(idleTimeout);
-        const auto read = awaitIo([&](auto handler) { http::async_read_some(stream, connection->buffer, parser, std::move(handler)); });
-        if (read.error && read.error != http::error::need_buffer)
-            return ErrorKind::StoreUnavailable;
-        pending.append(chunk.data(), chunk.size() - parser.get().body().size);
-        for (auto end = pending.find('\n'); end != std::string::npos; end = pending.find('\n')) {
-            if (!onLine(std::string_view(pending).substr(0, end)))
-                return {};
-            pending.erase(0, end + 1);
-        }
-    }
-    return ErrorKind::StoreUnavailable;
-}
-
 } // namespace heatherchute
--- a/lib/Platform/EtcdStore.cpp
+++ b/lib/Platform/EtcdStore.cpp
@@ -100,23 +100,4 @@
     return readAnswer<bool>([&answer] { return answer.value().body.value("succeeded", false); });
 }
 
-std::error_code EtcdStore::watch(const std::string& key, Milliseconds idleTimeout, const std::function<void(const StoreEntry&)>& onChange)
-{
-    const Json body { { "create_request", { { "key", encodeBase64(key) } } } };
-    const HttpRequest request { "POST", "/v3/watch", { { "Content-Type", "application/json" } }, body.dump() };
-    return m_client.stream(m_address, request, idleTimeout, [&onChange](std::string_view line) {
-        const auto entries = readAnswer<std::vector<StoreEntry>>([line] {
-            std::vector<StoreEntry> changed;
-            for (const auto& event : Json::parse(line).value("result", Json::object()).value("events", Json::array()))
-                changed.push_back(entryOf(event.at("kv")));
-            return changed;
-        });
-        if (!entries)
-            return false;
-        for (const auto& entry : entries.value())
-            onChange(entry);
-        return true;
-    });
-}
-
 } // namespace heatherchute
--- a/tools/standin-endpoint/main.cpp
+++ b/tools/standin-endpoint/main.cpp
@@ -1,8 +1,7 @@
 /// Stand-in for the endpoints: hosts every VM of a file that has a given failure domain, or all.
 #include "Worker.h"
 
-#include <boost/program_options.hpp>
-#include <iostream>
+#include "../standin-common/Options.h"
 
 namespace heatherchute {
 
@@ -52,19 +51,8 @@
     std::string record;
     std::string file;
     std::string failureDomain;
-    description.add_options()("help", "shows this")("record", options::value(&record)->required(), "file that the record is appended to")("vms", options::value(&file)->required(), "JSON file with the VMs")("failure-domain", options::value(&failureDomain), "hosts only the VMs of this one");
-    options::variables_map values;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), values);
-        if (values.count("help")) {
-            std::cout << description;
-            return 0;
-        }
-        options::notify(values);
-    } catch (const options::error& error) {
-        std::cerr << "heatherchute-standin-endpoint: " << error.what() << '\n';
-        return 2;
-    }
+    description.add_options()("record", options::value(&record)->required(), "file that the record is appended to")("vms", options::value(&file)->required(), "JSON file with the VMs")("failure-domain", options::value(&failureDomain), "hosts only the VMs of this one");
+    parseOptions(argc, argv, std::move(description));
     startLogging(argv[0]);
     Duty duty("endpoint");
     Record recordFile(record);
@@ -74,7 +62,5 @@
             vms.push_back(host(duty, info, recordFile));
     }
     duty.spawn([&duty, &vms] { tickForEver(duty, vms); });
-    boost::fibers::promise<void> stop;
-    handleStopSignals(duty, [](int) { std::_Exit(0); });
-    stop.get_future().wait();
+    serveForEver(duty);
 }
--- a/tools/standin-store/main.cpp
+++ b/tools/standin-store/main.cpp
@@ -2,12 +2,10 @@
 /// it slow, down, or lose the answers of writes that have taken effect.
 #include "StoreModel.h"
 
+#include "../standin-common/Options.h"
 #include "../standin-common/Record.h"
 #include "heatherchute/Http.h"
 
-#include <boost/program_options.hpp>
-#include <iostream>
-
 namespace heatherchute {
 
 namespace {
@@ -127,19 +125,8 @@
     options::options_description description("heatherchute-standin-store");
     std::string listen;
     std::string record;
-    description.add_options()("help", "shows this")("listen", options::value(&listen)->required(), "ip:port")("record", options::value(&record)->required(), "file that the record is appended to");
-    options::variables_map values;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), values);
-        if (values.count("help")) {
-            std::cout << description;
-            return 0;
-        }
-        options::notify(values);
-    } catch (const options::error& error) {
-        std::cerr << "heatherchute-standin-store: " << error.what() << '\n';
-        return 2;
-    }
+    description.add_options()("listen", options::value(&listen)->required(), "ip:port")("record", options::value(&record)->required(), "file that the record is appended to");
+    parseOptions(argc, argv, std::move(description));
     startLogging(argv[0]);
     Duty duty("store");
     StandinStore store(duty, record);
@@ -147,7 +134,5 @@
     settings.listen = parseAddress(listen).value();
     settings.maxBodyBytes = 8U << 20;
     const HttpServer server(duty, settings, [&store](HttpRequest&& request) { return store.handle(request); });
-    boost::fibers::promise<void> stop;
-    handleStopSignals(duty, [](int) { std::_Exit(0); });
-    stop.get_future().wait();
+    serveForEver(duty);
 }
--- a/tools/standin-vmlist/main.cpp
+++ b/tools/standin-vmlist/main.cpp
@@ -1,12 +1,10 @@
 /// Stand-in for the platform's VM list. It serves a file of VMs; POST /standin/leaving names a
 /// VM that begins to leave, which the list shows only after the lag.
+#include "../standin-common/Options.h"
 #include "../standin-common/Record.h"
 #include "heatherchute/Http.h"
 #include "heatherchute/Model.h"
 
-#include <boost/program_options.hpp>
-#include <iostream>
-
 namespace heatherchute {
 
 namespace {
@@ -94,19 +92,8 @@
     std::string record;
     std::string file;
     std::uint64_t lagMs = 0;
-    description.add_options()("help", "shows this")("listen", options::value(&listen)->required(), "ip:port")("record", options::value(&record)->required(), "file that the record is appended to")("vms", options::value(&file)->required(), "JSON file with the VMs")("lag-ms", options::value(&lagMs)->default_value(1000), "age of what the list shows");
-    options::variables_map values;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), values);
-        if (values.count("help")) {
-            std::cout << description;
-            return 0;
-        }
-        options::notify(values);
-    } catch (const options::error& error) {
-        std::cerr << "heatherchute-standin-vmlist: " << error.what() << '\n';
-        return 2;
-    }
+    description.add_options()("listen", options::value(&listen)->required(), "ip:port")("record", options::value(&record)->required(), "file that the record is appended to")("vms", options::value(&file)->required(), "JSON file with the VMs")("lag-ms", options::value(&lagMs)->default_value(1000), "age of what the list shows");
+    parseOptions(argc, argv, std::move(description));
     startLogging(argv[0]);
     Duty duty("vmlist");
     StandinVmList list(Json::parse(readFile(file).value()).get<std::vector<VmInfo>>(), Milliseconds(lagMs), record);
@@ -114,7 +101,5 @@
     settings.listen = parseAddress(listen).value();
     settings.maxBodyBytes = 8U << 20;
     const HttpServer server(duty, settings, [&list](HttpRequest&& request) { return list.handle(request); });
-    boost::fibers::promise<void> stop;
-    handleStopSignals(duty, [](int) { std::_Exit(0); });
-    stop.get_future().wait();
+    serveForEver(duty);
 }
