Say at once that a job's name is none of ours

Cause: the first use of the tool against a cluster waited 8 s for the home of a shard that no configuration has, and was told that it cannot be reached.

--- a/lib/Daemon/CoreCalls.cpp
+++ b/lib/Daemon/CoreCalls.cpp
@@ -177,7 +177,15 @@
         return fail(call, ErrorKind::NotFound);
     if (request.method != "GET" && request.method != "DELETE")
         return fail(call, ErrorKind::MethodNotAllowed);
-    toHome(call, shardOf(path[2]), team, request);
+    const auto shard = shardOf(path[2]);
+    const auto& domains = m_fleet->configuration.failureDomains;
+    const bool isShard = std::any_of(domains.begin(), domains.end(), [&shard](const std::string& domain) {
+        const auto shards = shardsOfDomain(domain);
+        return std::find(shards.begin(), shards.end(), shard) != shards.end();
+    });
+    if (!isShard)
+        return fail(call, ErrorKind::NotFound, "no such job");
+    toHome(call, shard, team, request);
 }
 
 void Core::dispatchOperator(std::uint64_t call, const HttpRequest& request, const Target& target)
