--- a/include/heatherchute/Routing.h
+++ b/include/heatherchute/Routing.h
@@ -126,7 +126,6 @@
     bool delegate(Call& call, TimePoint now, RoutingActions& actions);
     const PeerRoom* choosePeer(const Call& call, bool sameDomain) const;
     std::int64_t roomLeft(const PeerRoom& room, const std::string& service) const;
-    bool hasOwnVms(const std::string& service, TimePoint now) const;
     bool mayQueue(const Call& call) const;
     void enqueue(Call& call);
     void dequeue(Call& call);
--- a/lib/Daemon/Core.h
+++ b/lib/Daemon/Core.h
@@ -206,7 +206,6 @@
     bool m_deliveringToSelf = false;
     std::deque<OutsideOrder> m_backlog;
 
-    bool m_platformCut = false;
     bool m_stopping = false;
     TimePoint m_stopSince;
     TimePoint m_quietSince;
--- a/lib/Daemon/CoreCalls.cpp
+++ b/lib/Daemon/CoreCalls.cpp
@@ -230,8 +230,7 @@
     if (target.path[1] != "cut" || !body.is_object())
         return fail(call, ErrorKind::BadRequest);
     m_cutDaemons = body.value("daemons", std::set<std::string>());
-    m_platformCut = body.value("platform", false);
-    order(CutPlatform { m_platformCut });
+    order(CutPlatform { body.value("platform", false) });
     answer(call, jsonResponse(200, body));
 }
 
--- a/lib/Routing/RequestDesk.cpp
+++ b/lib/Routing/RequestDesk.cpp
@@ -70,12 +70,6 @@
     return best;
 }
 
-bool RequestDesk::hasOwnVms(const std::string& service, TimePoint now) const
-{
-    const auto rooms = m_vms.serviceRoom(now);
-    return std::any_of(rooms.begin(), rooms.end(), [&service](const ServiceRoom& room) { return room.service == service && room.slots > 0; });
-}
-
 bool RequestDesk::takeCredit(Call& call)
 {
     if (!call.hasCredit && !call.call.relayed)
