--- /dev/null
+++ b/include/heatherchute/Cell.h
@@ -0,0 +1,373 @@
+/// The owner of a cell: which jobs exist, where their tasks run, what is durable, and what to do
+/// next. Pure: events come in with the time, actions go out; it knows no thread, clock or network.
+/// One desk lives as long as one ownership; a successor builds its own from the store.
+#pragma once
+
+#include "heatherchute/Support.h"
+#include "heatherchute/Work.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+
+namespace heatherchute::cell {
+
+/// Figures that bound the desk's decisions; from the daemon's settings.
+struct CellLimits {
+    /// Lease that a heartbeat or a start gives to what runs on a VM.
+    Milliseconds vmLease { 8000 };
+    /// How long a job that has ended stays known.
+    Seconds jobRetention { 120 };
+    /// Tasks farther away than this from their due time are not started.
+    Milliseconds earliness { 100 };
+    /// How much slower a task is away from its preferred rack, or a same-rack step on several.
+    double spreadFactor = 2;
+};
+
+/// Time as the desk sees it: steady for all arithmetic, Unix milliseconds for due times only.
+struct Now {
+    TimePoint steady;
+    std::int64_t unixMs = 0;
+};
+
+/// Identifies a caller's pending call.
+using CallId = std::uint64_t;
+
+/// One key of the durable state; an empty value removes it.
+struct StateWrite {
+    std::string key;
+    std::string value;
+};
+
+/// A job as the store has it.
+struct StoredJob {
+    std::string id;
+    /// What was handed in, and how far it is.
+    std::string submission;
+    std::string progress;
+};
+
+// Actions that the desk asks for.
+
+/// Makes the writes durable, all of them before onCommitted.
+struct CommitState {
+    std::vector<StateWrite> writes;
+};
+
+struct StartRun {
+    std::string vm;
+    Address address;
+    TaskId task;
+    std::uint32_t run = 0;
+    std::shared_ptr<const JobSpec> spec;
+    std::int64_t deadlineMs = 0;
+    std::string checkpoint;
+    std::string ticket;
+};
+
+struct StopRun {
+    std::string vm;
+    Address address;
+    TaskId task;
+    std::uint32_t run = 0;
+};
+
+struct BeatVm {
+    std::string vm;
+    Address address;
+    std::int64_t deadlineMs = 0;
+    std::uint64_t acknowledged = 0;
+    Milliseconds wait { 0 };
+};
+
+struct AskAdvice {
+    /// Job, occurrence and step; the index is zero.
+    TaskId step;
+    std::vector<std::string> vms;
+    /// How long the advice service is expected to work on it.
+    Milliseconds cost { 0 };
+};
+
+/// Final answer to a submission or a cancellation.
+struct AnswerCall {
+    CallId call = 0;
+    ErrorKind error = ErrorKind::None;
+};
+
+/// A line for the log.
+struct Decision {
+    std::string_view event;
+    Json fields;
+};
+
+/// Another daemon has a higher fencing token.
+struct LostOwnership {
+    std::string vm;
+};
+
+using Action = std::variant<CommitState, StartRun, StopRun, BeatVm, AskAdvice, AnswerCall, Decision, LostOwnership>;
+
+/// Answer of a VM to a heartbeat; no state when there was none.
+struct BeatAnswer {
+    std::string vm;
+    TimePoint sentAt;
+    bool fenced = false;
+    std::optional<VmState> state;
+};
+
+/// Answer of the advice service; no rows when it gave none.
+struct AdviceAnswer {
+    TaskId step;
+    std::vector<std::string> asked;
+    /// VM and the ticket for it.
+    std::optional<std::vector<std::pair<std::string, std::string>>> allowed;
+    Milliseconds validity { 0 };
+    TimePoint sentAt;
+};
+
+enum class TaskPhase : std::uint8_t {
+    Waiting,
+    /// A run of it is recorded, and may be on a VM.
+    Placed,
+    Done,
+};
+
+struct Task {
+    TaskPhase phase = TaskPhase::Waiting;
+    /// Number of its latest run; zero before the first.
+    std::uint32_t run = 0;
+    std::uint32_t failures = 0;
+    std::string checkpoint;
+    TimePoint notBefore;
+};
+
+/// What is known of which VMs may run a step.
+struct StepAdvice {
+    struct Permission {
+        std::string ticket;
+        std::int64_t incarnation = 0;
+        TimePoint validUntil;
+    };
+    std::map<std::string, Permission> allowed;
+    std::set<std::string> denied;
+    bool asking = false;
+    TimePoint nextAsk;
+};
+
+struct Step {
+    std::vector<Task> tasks;
+    std::uint32_t done = 0;
+    /// Runs of the gang in which a member has failed, and the last of them.
+    std::uint32_t gangFailures = 0;
+    std::uint32_t lastFailedRun = 0;
+    StepAdvice advice;
+    bool isDone() const { return done == tasks.size(); }
+};
+
+struct Occurrence {
+    std::vector<Step> steps;
+};
+
+struct Job {
+    std::string id;
+    std::string queue;
+    std::string team;
+    std::string service;
+    std::shared_ptr<const JobSpec> spec;
+    std::int64_t acceptedUnixMs = 0;
+    TimePoint acceptedAt;
+    JobPhase phase = JobPhase::Queued;
+    /// Phase that is durable, and so may be shown.
+    JobPhase shownPhase = JobPhase::Queued;
+    bool isDurable = false;
+    std::map<std::uint32_t, Occurrence> occurrences;
+    std::uint32_t nextOccurrence = 0;
+    std::uint32_t doneOccurrences = 0;
+    std::uint32_t placements = 0;
+    TimePoint endedAt;
+};
+
+/// One run of a task from its decision until it is surely over.
+struct Placement {
+    TaskId task;
+    std::uint32_t run = 0;
+    std::string vm;
+    std::int64_t incarnation = 0;
+    Room need;
+    std::string team;
+    std::string ticket;
+    /// The run is durable, so orders may be sent.
+    bool recorded = false;
+    bool orderInFlight = false;
+    /// A start was answered, or the run was seen on the VM.
+    bool started = false;
+    /// A start got no answer: it may still be carried out.
+    bool startUnknown = false;
+    bool stopWanted = false;
+    bool stopAnswered = false;
+    TimePoint firstOrderAt;
+    TimePoint nextOrderAt;
+    /// Newest answer to an order about it; a list asked for later tells whether it is there.
+    TimePoint answeredAt;
+    /// The run has ended for the desk, and only its room is still taken.
+    bool abandoned = false;
+};
+
+struct Vm {
+    VmReport report;
+    bool listed = false;
+    std::int64_t incarnation = 0;
+    Room used;
+    std::set<TaskId> placements;
+    /// It has answered under this ownership.
+    bool fenced = false;
+    unsigned misses = 0;
+    TimePoint lastAnswer;
+    /// Its clock at `clockAt`; zero when unknown.
+    std::int64_t clockMs = 0;
+    TimePoint clockAt;
+    /// By then every lease that it may have has run out.
+    TimePoint leaseEnd;
+    std::uint64_t processed = 0;
+    std::uint64_t acknowledged = 0;
+    bool beatInFlight = false;
+    TimePoint nextBeat;
+    /// Not to be used before: it refused, or failed what it ran.
+    TimePoint distrustedUntil;
+    unsigned failuresInRow = 0;
+    std::string lastFailedJob;
+};
+
+class CellDesk {
+public:
+    /// `inheritedLeaseEnd`: by then every lease that an earlier owner gave has run out.
+    CellDesk(CellLimits limits, TimePoint inheritedLeaseEnd, std::uint64_t seed);
+
+    void setPolicy(CellPolicyPointer policy);
+    /// Whether the ownership surely holds: only then are leases extended and runs started.
+    void setTenured(bool tenured) { m_isTenured = tenured; }
+    /// The registry as it is now; VMs that are no longer in it are not used any more.
+    void setVms(const std::vector<VmReport>& reports, Now now);
+    /// Jobs that the store had when the ownership began.
+    void load(const std::vector<StoredJob>& jobs, Now now);
+
+    /// Answered by AnswerCall once durable.
+    void submit(CallId call, const std::string& id, const std::string& queue, const std::string& team, JobSpec spec, Now now);
+    void cancel(CallId call, const std::string& id, Now now);
+    /// Nothing when no such job exists.
+    std::optional<JobPhase> query(const std::string& id) const;
+    std::uint64_t pending(const std::string& queue) const;
+
+    void onBeat(const BeatAnswer& answer, Now now);
+    void onStart(const std::string& vm, const TaskId& task, std::uint32_t run, StartAnswer answer, Now now);
+    void onStop(const std::string& vm, const TaskId& task, std::uint32_t run, bool answered, bool fenced, Now now);
+    void onAdvice(const AdviceAnswer& answer, Now now);
+    void onCommitted(Now now);
+    /// Moves everything that time or earlier events have made possible.
+    void advance(Now now);
+
+    std::vector<Action> takeActions();
+
+    struct Figures {
+        std::size_t jobs = 0;
+        std::size_t waitingTasks = 0;
+        std::size_t placements = 0;
+        std::size_t vms = 0;
+        std::size_t reachableVms = 0;
+    };
+    Figures figures() const;
+    const std::map<std::string, Vm>& vms() const { return m_vms; }
+    const std::map<TaskId, Placement>& placements() const { return m_placements; }
+    const Job* findJob(const std::string& id) const;
+
+private:
+    struct ReadyStep;
+    /// What follows once the state written with it is durable.
+    struct AfterCommit {
+        std::optional<AnswerCall> answer;
+        std::optional<TaskId> start;
+        std::uint32_t run = 0;
+        std::string job;
+        std::string vm;
+        std::int64_t incarnation = 0;
+        std::uint64_t acknowledge = 0;
+    };
+
+    // Jobs.cpp
+    Job* job(const std::string& id);
+    void markDirty(const std::string& id) { m_dirty.insert(id); }
+    void openOccurrences(Job& job, Now now);
+    void forgetOldJobs(Now now);
+    void finishJob(Job& job, JobPhase phase, Now now, Json why);
+    void stepFinished(Job& job, Occurrence& occurrence, Now now);
+    std::uint32_t maxAttempts(const Job& job) const;
+    void noteFirstStart(Job& job);
+
+    // State.cpp
+    void flush();
+    std::string encodeSubmission(const Job& job) const;
+    std::string encodeProgress(const Job& job) const;
+    bool restore(const StoredJob& stored, Now now);
+
+    // Runs.cpp
+    void onEnd(Vm& vm, const FinishedTask& finished, Now now);
+    void taskDone(Job& job, const Placement& placement, Now now);
+    void taskFailed(Job& job, const Placement& placement, Now now);
+    void taskLost(Job& job, const Placement& placement, const std::string& checkpoint, std::string_view why, Now now);
+    /// The run is surely over and its room is free.
+    void release(const TaskId& task);
+    void stopGang(Job& job, const TaskId& member, Now now);
+    void stopAll(Job& job, Now now);
+    void loseRun(const TaskId& task, std::string_view why, Now now);
+
+    // Vms.cpp
+    void beatVms(Now now);
+    void resolveAbsent(Vm& vm, const BeatAnswer& answer, Now now);
+    void adoptListed(Vm& vm, const RunningTask& running, Now now);
+    void lapseSilent(Now now);
+    void driveOrders(Now now);
+    void sendStart(Placement& placement, Vm& vm, Now now);
+    void sendStop(Placement& placement, Vm& vm);
+    std::int64_t vmDeadline(const Vm& vm, Now now) const;
+    void extendLeaseEnd(Vm& vm, Now now) const;
+    bool mayUse(const Vm& vm, Now now) const;
+    void distrust(Vm& vm, Milliseconds time, std::string_view why, Now now);
+
+    // Placing.cpp
+    void place(Now now);
+    std::vector<ReadyStep> readySteps(Now now);
+    void placeStep(const ReadyStep& ready, Now now);
+    void askForAdvice(const ReadyStep& ready, Now now);
+    std::vector<Vm*> candidates(const ReadyStep& ready, Now now);
+    std::size_t slotsOn(const Vm& vm, const ReadyStep& ready) const;
+    std::size_t tasksOn(const Vm& vm, const TaskId& step) const;
+    bool isWithinQuota(const Job& job, const Room& more) const;
+    void put(const ReadyStep& ready, std::uint32_t index, std::uint32_t run, Vm& vm, Now now);
+    StepAdvice* adviceOf(const TaskId& step);
+
+    CellLimits m_limits;
+    TimePoint m_inheritedLeaseEnd;
+    std::uint64_t m_random;
+    CellPolicyPointer m_policy;
+    std::map<std::string, Job> m_jobs;
+    std::map<std::string, Vm> m_vms;
+    std::map<TaskId, Placement> m_placements;
+    std::map<std::string, Room> m_teamUse;
+    /// Share of asked VMs that advice allows, by queue.
+    std::map<std::string, double> m_adviceShare;
+    std::set<std::string> m_active;
+    std::set<std::string> m_dirty;
+    std::set<std::string> m_forgotten;
+    bool m_isTenured = true;
+    bool m_commitInFlight = false;
+    std::vector<AfterCommit> m_afterNext;
+    std::vector<AfterCommit> m_afterInFlight;
+    std::vector<Action> m_actions;
+};
+
+/// Keys of the cell's durable state.
+extern const std::string submissionPrefix;
+extern const std::string progressPrefix;
+
+} // namespace heatherchute::cell
--- a/include/heatherchute/Runtime.h
+++ b/include/heatherchute/Runtime.h
@@ -151,5 +151,7 @@
 
 /// Waits for SIGTERM and SIGINT with a fiber on `duty`; calls `onSignal(count)` for each.
 void handleStopSignals(Duty& duty, std::function<void(int)> onSignal);
+/// Waits for SIGHUP in the same way.
+void handleReloadSignals(Duty& duty, std::function<void()> onSignal);
 
 } // namespace heatherchute
--- /dev/null
+++ b/lib/Cell/Election.cpp
@@ -0,0 +1,146 @@
+#include "heatherchute/Election.h"
+
+namespace heatherchute::cell {
+
+std::string_view tenureName(Tenure tenure)
+{
+    static constexpr NamedValue<Tenure> names[] {
+        { Tenure::Follower, "follower" },
+        { Tenure::Claiming, "claiming" },
+        { Tenure::Owner, "owner" },
+        { Tenure::Doubtful, "doubtful" },
+    };
+    return nameOf(names, tenure);
+}
+
+ElectionDesk::ElectionDesk(ElectionSettings settings, std::uint64_t seed)
+    : m_settings(std::move(settings))
+    , m_random(seed | 1U)
+{
+}
+
+void ElectionDesk::scheduleClaim(TimePoint now, bool isOwnOld)
+{
+    if (m_claimAt)
+        return;
+    m_random = m_random * 6364136223846793005ULL + 1442695040888963407ULL;
+    const auto spread = static_cast<std::uint64_t>(m_settings.claimSpread.count());
+    const Milliseconds delay(isOwnOld || spread == 0 ? 0 : (m_random >> 33U) % spread);
+    m_claimAt = std::max(now + delay, m_noClaimBefore);
+}
+
+void ElectionDesk::onRecord(const std::optional<OwnerRecord>& record, TimePoint now)
+{
+    if (record && m_record && record->revision < m_record->revision)
+        return;
+    m_record = record;
+    m_isRecordKnown = true;
+    const bool isOurs = record && record->nonce == m_nonce && !m_nonce.empty();
+    if (isOwner() && !isOurs) {
+        // A list that was read before our claim may still be on its way here.
+        if (record && record->revision > m_fencingToken)
+            end("another record stands in the store", now);
+        return;
+    }
+    if (m_tenure != Tenure::Follower)
+        return;
+    const bool isOwnOld = record && record->daemon == m_settings.daemon;
+    if (!record || isOwnOld)
+        scheduleClaim(now, isOwnOld);
+    else
+        m_claimAt.reset();
+}
+
+void ElectionDesk::onClaim(const std::string& nonce, ClaimOutcome outcome, std::uint64_t lease, std::uint64_t revision, TimePoint sentAt, TimePoint now)
+{
+    if (m_tenure != Tenure::Claiming || nonce != m_nonce)
+        return;
+    if (outcome != ClaimOutcome::Won) {
+        m_tenure = Tenure::Follower;
+        /// Before the next try, when the store did not answer or another daemon was first.
+        constexpr Milliseconds claimPause { 150 };
+        m_noClaimBefore = std::max(m_noClaimBefore, now + claimPause);
+        const bool isFree = m_isRecordKnown && (!m_record || m_record->daemon == m_settings.daemon);
+        if (isFree)
+            scheduleClaim(now, false);
+        return;
+    }
+    m_tenure = Tenure::Owner;
+    m_lease = lease;
+    m_fencingToken = revision;
+    m_validUntil = sentAt + m_settings.lease - m_settings.margin;
+    m_renewAt = now + m_settings.renewEvery;
+    m_renewing = false;
+    m_actions.emplace_back(OwnershipBegan { revision });
+}
+
+void ElectionDesk::onRenewal(std::uint64_t lease, RenewalOutcome outcome, TimePoint sentAt, TimePoint now)
+{
+    if (!isOwner() || lease != m_lease)
+        return;
+    m_renewing = false;
+    if (outcome == RenewalOutcome::Ended)
+        return end("the lease of the record has ended", now);
+    if (outcome == RenewalOutcome::Unknown) {
+        /// A renewal without an answer is repeated soon, while the lease may still hold.
+        constexpr Milliseconds renewRetry { 100 };
+        m_renewAt = now + renewRetry;
+        return;
+    }
+    m_validUntil = std::max(m_validUntil, sentAt + m_settings.lease - m_settings.margin);
+    m_renewAt = now + m_settings.renewEvery;
+    m_tenure = now < m_validUntil ? Tenure::Owner : Tenure::Doubtful;
+}
+
+void ElectionDesk::end(const std::string& why, TimePoint now)
+{
+    m_tenure = Tenure::Follower;
+    m_nonce.clear();
+    m_actions.emplace_back(OwnershipEnded { why });
+    m_claimAt.reset();
+    const bool isFree = m_isRecordKnown && (!m_record || m_record->daemon == m_settings.daemon);
+    if (isFree)
+        scheduleClaim(now, false);
+}
+
+void ElectionDesk::depose(const std::string& why, TimePoint now)
+{
+    if (isOwner())
+        end(why, now);
+}
+
+void ElectionDesk::stepDown(const std::string& why, TimePoint now, TimePoint until)
+{
+    m_noClaimBefore = std::max(m_noClaimBefore, until);
+    if (m_claimAt)
+        m_claimAt = std::max(*m_claimAt, until);
+    if (!isOwner())
+        return;
+    m_actions.emplace_back(ReleaseClaim { m_lease });
+    end(why, now);
+}
+
+void ElectionDesk::tick(TimePoint now)
+{
+    if (isOwner()) {
+        if (now >= m_validUntil)
+            m_tenure = Tenure::Doubtful;
+        if (now >= m_renewAt && !m_renewing) {
+            m_renewing = true;
+            m_actions.emplace_back(RenewClaim { m_lease });
+        }
+        return;
+    }
+    if (m_tenure != Tenure::Follower || !m_claimAt || now < *m_claimAt)
+        return;
+    if (now < m_noClaimBefore) {
+        m_claimAt = m_noClaimBefore;
+        return;
+    }
+    m_claimAt.reset();
+    m_tenure = Tenure::Claiming;
+    m_nonce = randomToken(8);
+    m_actions.emplace_back(ClaimCell { m_record ? m_record->revision : 0, m_nonce });
+}
+
+} // namespace heatherchute::cell
--- /dev/null
+++ b/lib/Cell/Jobs.cpp
@@ -0,0 +1,207 @@
+#include "heatherchute/Cell.h"
+
+namespace heatherchute::cell {
+
+CellDesk::CellDesk(CellLimits limits, TimePoint inheritedLeaseEnd, std::uint64_t seed)
+    : m_limits(limits)
+    , m_inheritedLeaseEnd(inheritedLeaseEnd)
+    , m_random(seed)
+{
+}
+
+void CellDesk::setPolicy(CellPolicyPointer policy)
+{
+    m_policy = std::move(policy);
+}
+
+Job* CellDesk::job(const std::string& id)
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const Job* CellDesk::findJob(const std::string& id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+void CellDesk::submit(CallId call, const std::string& id, const std::string& queue, const std::string& team, JobSpec spec, Now now)
+{
+    AfterCommit after;
+    after.answer = AnswerCall { call, ErrorKind::None };
+    after.job = id;
+    if (const auto* const known = job(id)) {
+        // The same id is the same job, whoever repeats it and whenever.
+        m_actions.emplace_back(Decision { "submission_repeated", { { "job", id }, { "phase", jobPhaseName(known->phase) } } });
+        if (known->isDurable)
+            m_actions.emplace_back(*after.answer);
+        else
+            m_afterNext.push_back(std::move(after));
+        return;
+    }
+    const auto* const policy = m_policy ? m_policy->findQueue(queue) : nullptr;
+    if (!policy) {
+        m_actions.emplace_back(AnswerCall { call, ErrorKind::StaleConfiguration });
+        return;
+    }
+    Job job;
+    job.id = id;
+    job.queue = queue;
+    job.team = team;
+    job.service = policy->service;
+    job.spec = std::make_shared<const JobSpec>(std::move(spec));
+    job.acceptedUnixMs = now.unixMs;
+    job.acceptedAt = now.steady;
+    auto& added = m_jobs.emplace(id, std::move(job)).first->second;
+    m_active.insert(id);
+    openOccurrences(added, now);
+    markDirty(id);
+    m_afterNext.push_back(std::move(after));
+}
+
+void CellDesk::cancel(CallId call, const std::string& id, Now now)
+{
+    auto* const known = job(id);
+    if (!known) {
+        m_actions.emplace_back(AnswerCall { call, ErrorKind::NotFound });
+        return;
+    }
+    AfterCommit after;
+    after.answer = AnswerCall { call, ErrorKind::None };
+    after.job = id;
+    if (!isFinal(known->phase)) {
+        finishJob(*known, JobPhase::Cancelled, now, Json::object());
+        stopAll(*known, now);
+    }
+    markDirty(id);
+    m_afterNext.push_back(std::move(after));
+}
+
+std::optional<JobPhase> CellDesk::query(const std::string& id) const
+{
+    const auto found = m_jobs.find(id);
+    if (found == m_jobs.end())
+        return std::nullopt;
+    return found->second.shownPhase;
+}
+
+std::uint64_t CellDesk::pending(const std::string& queue) const
+{
+    std::uint64_t count = 0;
+    for (const auto& id : m_active) {
+        const auto& job = m_jobs.at(id);
+        count += job.queue == queue && job.phase == JobPhase::Queued ? 1 : 0;
+    }
+    return count;
+}
+
+std::uint32_t CellDesk::maxAttempts(const Job& job) const
+{
+    const auto* const queue = m_policy ? m_policy->findQueue(job.queue) : nullptr;
+    return queue ? queue->maxAttempts : 1;
+}
+
+void CellDesk::openOccurrences(Job& job, Now now)
+{
+    const auto total = std::max<std::uint32_t>(1, job.spec->occurrences);
+    while (job.nextOccurrence < total) {
+        const auto dueMs = job.spec->firstDueMs + job.nextOccurrence * job.spec->intervalMs;
+        if (job.spec->occurrences > 0 && now.unixMs + m_limits.earliness.count() < dueMs)
+            return;
+        auto& occurrence = job.occurrences[job.nextOccurrence++];
+        for (const auto& step : job.spec->steps) {
+            occurrence.steps.emplace_back();
+            occurrence.steps.back().tasks.resize(step.tasks);
+        }
+        markDirty(job.id);
+    }
+}
+
+void CellDesk::finishJob(Job& job, JobPhase phase, Now now, Json why)
+{
+    job.phase = phase;
+    job.endedAt = now.steady;
+    markDirty(job.id);
+    why["job"] = job.id;
+    why["queue"] = job.queue;
+    why["phase"] = jobPhaseName(phase);
+    why["age_ms"] = std::chrono::duration_cast<Milliseconds>(now.steady - job.acceptedAt).count();
+    m_actions.emplace_back(Decision { "job_ended", std::move(why) });
+}
+
+void CellDesk::stepFinished(Job& job, Occurrence& occurrence, Now now)
+{
+    for (const auto& step : occurrence.steps) {
+        if (!step.isDone())
+            return;
+    }
+    ++job.doneOccurrences;
+    if (job.doneOccurrences == std::max<std::uint32_t>(1, job.spec->occurrences))
+        finishJob(job, JobPhase::Completed, now, Json::object());
+}
+
+void CellDesk::noteFirstStart(Job& job)
+{
+    if (job.phase != JobPhase::Queued)
+        return;
+    job.phase = JobPhase::Running;
+    if (job.isDurable)
+        job.shownPhase = JobPhase::Running;
+}
+
+void CellDesk::forgetOldJobs(Now now)
+{
+    for (auto it = m_active.begin(); it != m_active.end();) {
+        const auto& job = m_jobs.at(*it);
+        const bool isOver = isFinal(job.phase) && job.shownPhase == job.phase && job.placements == 0;
+        it = isOver ? m_active.erase(it) : std::next(it);
+    }
+    /// Jobs removed at once, so that a commit stays small.
+    constexpr std::size_t maxForgotten = 20;
+    for (auto it = m_jobs.begin(); it != m_jobs.end() && m_forgotten.size() < maxForgotten;) {
+        const auto& job = it->second;
+        const bool isOld = !m_active.contains(job.id) && isFinal(job.phase) && now.steady - job.endedAt > m_limits.jobRetention;
+        if (isOld)
+            m_forgotten.insert(job.id);
+        it = isOld ? m_jobs.erase(it) : std::next(it);
+    }
+}
+
+CellDesk::Figures CellDesk::figures() const
+{
+    Figures figures { m_jobs.size(), 0, m_placements.size(), 0, 0 };
+    for (const auto& id : m_active) {
+        for (const auto& [number, occurrence] : m_jobs.at(id).occurrences) {
+            for (const auto& step : occurrence.steps)
+                figures.waitingTasks += static_cast<std::size_t>(std::count_if(step.tasks.begin(), step.tasks.end(), [](const auto& task) { return task.phase == TaskPhase::Waiting; }));
+        }
+    }
+    for (const auto& [id, vm] : m_vms) {
+        figures.vms += vm.listed ? 1 : 0;
+        figures.reachableVms += vm.listed && vm.fenced && vm.misses == 0 ? 1 : 0;
+    }
+    return figures;
+}
+
+std::vector<Action> CellDesk::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+void CellDesk::advance(Now now)
+{
+    for (const auto& id : m_active) {
+        auto& job = m_jobs.at(id);
+        if (!isFinal(job.phase))
+            openOccurrences(job, now);
+    }
+    lapseSilent(now);
+    driveOrders(now);
+    place(now);
+    beatVms(now);
+    forgetOldJobs(now);
+    flush();
+}
+
+} // namespace heatherchute::cell
--- /dev/null
+++ b/lib/Cell/State.cpp
@@ -0,0 +1,215 @@
+#include "heatherchute/Cell.h"
+
+namespace heatherchute::cell {
+
+const std::string submissionPrefix = "heatherchute/job/";
+const std::string progressPrefix = "heatherchute/progress/";
+
+static std::string toBytes(const Json& json)
+{
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    return bytes;
+}
+
+static Json fromBytes(const std::string& bytes)
+{
+    return Json::from_cbor(bytes, true, false);
+}
+
+std::string CellDesk::encodeSubmission(const Job& job) const
+{
+    return toBytes({ { "queue", job.queue }, { "team", job.team }, { "service", job.service }, { "accepted", job.acceptedUnixMs }, { "spec", *job.spec } });
+}
+
+/// A task is [phase, run, failures, checkpoint, VM, incarnation], cut where the rest is default.
+static Json encodeTask(const Task& task, const Placement* placement)
+{
+    if (task.phase == TaskPhase::Waiting && task.run == 0)
+        return Json::array();
+    auto row = Json::array({ static_cast<int>(task.phase), task.run, task.failures });
+    if (!task.checkpoint.empty() || placement)
+        row.push_back(task.checkpoint);
+    if (placement) {
+        row.push_back(placement->vm);
+        row.push_back(placement->incarnation);
+    }
+    return row;
+}
+
+std::string CellDesk::encodeProgress(const Job& job) const
+{
+    auto occurrences = Json::array();
+    for (const auto& [number, occurrence] : job.occurrences) {
+        auto steps = Json::array();
+        for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+            const auto& step = occurrence.steps[s];
+            auto tasks = Json::array();
+            for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+                const auto placed = m_placements.find({ job.id, number, s, i });
+                const bool isRelevant = placed != m_placements.end() && step.tasks[i].phase == TaskPhase::Placed;
+                tasks.push_back(encodeTask(step.tasks[i], isRelevant ? &placed->second : nullptr));
+            }
+            steps.push_back({ step.gangFailures, step.lastFailedRun, std::move(tasks) });
+        }
+        occurrences.push_back({ number, std::move(steps) });
+    }
+    return toBytes({ { "phase", static_cast<int>(job.phase) }, { "next", job.nextOccurrence }, { "done", job.doneOccurrences }, { "occurrences", std::move(occurrences) } });
+}
+
+void CellDesk::flush()
+{
+    if (m_commitInFlight)
+        return;
+    if (m_dirty.empty() && m_forgotten.empty()) {
+        // What waits only for state that is durable already follows at once.
+        if (m_afterNext.empty())
+            return;
+    }
+    CommitState commit;
+    for (const auto& id : m_dirty) {
+        const auto* const known = job(id);
+        if (!known)
+            continue;
+        if (!known->isDurable)
+            commit.writes.push_back({ submissionPrefix + id, encodeSubmission(*known) });
+        commit.writes.push_back({ progressPrefix + id, encodeProgress(*known) });
+        AfterCommit shown;
+        shown.job = id;
+        m_afterNext.push_back(std::move(shown));
+    }
+    for (const auto& id : m_forgotten) {
+        commit.writes.push_back({ progressPrefix + id, {} });
+        commit.writes.push_back({ submissionPrefix + id, {} });
+    }
+    m_dirty.clear();
+    m_forgotten.clear();
+    m_afterInFlight = std::exchange(m_afterNext, {});
+    m_commitInFlight = true;
+    m_actions.emplace_back(std::move(commit));
+}
+
+void CellDesk::onCommitted(Now now)
+{
+    m_commitInFlight = false;
+    for (auto& after : std::exchange(m_afterInFlight, {})) {
+        if (auto* const written = after.job.empty() ? nullptr : job(after.job)) {
+            written->isDurable = true;
+            // A change after the write is still to be made durable.
+            if (!m_dirty.contains(written->id))
+                written->shownPhase = written->phase;
+            else if (!isFinal(written->phase))
+                written->shownPhase = written->phase;
+        }
+        if (after.answer)
+            m_actions.emplace_back(*after.answer);
+        if (after.start) {
+            const auto placed = m_placements.find(*after.start);
+            if (placed != m_placements.end() && placed->second.run == after.run)
+                placed->second.recorded = true;
+        }
+        if (after.acknowledge > 0) {
+            const auto vm = m_vms.find(after.vm);
+            if (vm != m_vms.end() && vm->second.incarnation == after.incarnation) {
+                vm->second.acknowledged = std::max(vm->second.acknowledged, after.acknowledge);
+                vm->second.nextBeat = now.steady;
+            }
+        }
+    }
+}
+
+static std::string textAt(const Json& row, std::size_t index)
+{
+    return row.size() > index ? row[index].get<std::string>() : std::string();
+}
+
+static Task decodeTask(const Json& row)
+{
+    Task task;
+    if (row.empty())
+        return task;
+    task.phase = static_cast<TaskPhase>(row.at(0).get<int>());
+    task.run = row.at(1).get<std::uint32_t>();
+    task.failures = row.at(2).get<std::uint32_t>();
+    task.checkpoint = textAt(row, 3);
+    return task;
+}
+
+bool CellDesk::restore(const StoredJob& stored, Now now)
+{
+    Job job;
+    job.id = stored.id;
+    job.isDurable = true;
+    std::vector<Placement> placed;
+    try {
+        const auto submission = fromBytes(stored.submission);
+        const auto progress = fromBytes(stored.progress);
+        job.queue = submission.at("queue");
+        job.team = submission.at("team");
+        job.service = submission.at("service");
+        job.acceptedUnixMs = submission.at("accepted");
+        job.spec = std::make_shared<const JobSpec>(submission.at("spec").get<JobSpec>());
+        job.phase = static_cast<JobPhase>(progress.at("phase").get<int>());
+        job.nextOccurrence = progress.at("next");
+        job.doneOccurrences = progress.at("done");
+        for (const auto& row : progress.at("occurrences")) {
+            const auto number = row.at(0).get<std::uint32_t>();
+            auto& occurrence = job.occurrences[number];
+            for (std::uint32_t s = 0; s < row.at(1).size(); ++s) {
+                const auto& stepRow = row.at(1).at(s);
+                auto& step = occurrence.steps.emplace_back();
+                step.gangFailures = stepRow.at(0);
+                step.lastFailedRun = stepRow.at(1);
+                for (const auto& taskRow : stepRow.at(2)) {
+                    step.tasks.push_back(decodeTask(taskRow));
+                    step.done += step.tasks.back().phase == TaskPhase::Done ? 1 : 0;
+                    if (step.tasks.back().phase != TaskPhase::Placed)
+                        continue;
+                    Placement placement;
+                    placement.task = { job.id, number, s, static_cast<std::uint32_t>(step.tasks.size() - 1) };
+                    placement.run = step.tasks.back().run;
+                    placement.vm = taskRow.at(4);
+                    placement.incarnation = taskRow.at(5);
+                    placement.need = job.spec->steps.at(s).usesIdleRoom ? Room {} : job.spec->steps.at(s).need;
+                    placement.team = job.team;
+                    placement.recorded = true;
+                    placement.started = true;
+                    placed.push_back(std::move(placement));
+                }
+            }
+        }
+    } catch (const Json::exception& exception) {
+        m_actions.emplace_back(Decision { "stored_job_unreadable", { { "job", stored.id }, { "reason", exception.what() } } });
+        return false;
+    }
+    job.shownPhase = job.phase;
+    // Its age is carried over by wall time, which may be off by a clock step; it only ranks.
+    job.acceptedAt = now.steady - Milliseconds(std::clamp<std::int64_t>(now.unixMs - job.acceptedUnixMs, 0, 600'000));
+    job.endedAt = now.steady;
+    job.placements = static_cast<std::uint32_t>(placed.size());
+    if (!isFinal(job.phase) || job.placements > 0)
+        m_active.insert(job.id);
+    for (auto& placement : placed) {
+        auto& vm = m_vms[placement.vm];
+        vm.report.id = placement.vm;
+        if (vm.leaseEnd < m_inheritedLeaseEnd)
+            vm.leaseEnd = m_inheritedLeaseEnd;
+        vm.used += placement.need;
+        vm.placements.insert(placement.task);
+        m_teamUse[placement.team] += placement.need;
+        placement.stopWanted = isFinal(job.phase);
+        m_placements.emplace(placement.task, std::move(placement));
+    }
+    m_jobs.emplace(job.id, std::move(job));
+    return true;
+}
+
+void CellDesk::load(const std::vector<StoredJob>& jobs, Now now)
+{
+    std::size_t restored = 0;
+    for (const auto& stored : jobs)
+        restored += restore(stored, now) ? 1 : 0;
+    m_actions.emplace_back(Decision { "jobs_loaded", { { "jobs", restored }, { "unreadable", jobs.size() - restored }, { "placements", m_placements.size() }, { "active", m_active.size() } } });
+}
+
+} // namespace heatherchute::cell
--- /dev/null
+++ b/lib/Node/Node.cpp
@@ -0,0 +1,50 @@
+#include "heatherchute/Node.h"
+
+#include "Core.h"
+
+#include <csignal>
+#include <future>
+#include <sys/resource.h>
+
+namespace heatherchute {
+
+int runNode(const NodeSettings& settings, const std::function<CheckedNodeSettings()>& reload)
+{
+    NodeCore core(settings);
+    const CorePost toCore = [&core](Closure& closure) { return core.post(closure); };
+    NodeOutbound outbound(settings, toCore);
+    NodeLinks links({ [&core](LinkId link, bool outgoing) { core.onLinkOpen(link, outgoing); },
+                        [&core](LinkId link, PeerMessage message) { core.onLinkMessage(link, std::move(message)); },
+                        [&core](LinkId link) { core.onLinkClosed(link); },
+                        [&core](const Address& address, LinkId link) { core.onDialled(address, link); } },
+        toCore);
+    NodeFront front({ [&core](std::uint64_t id, platform::CallerCall call, const std::string& body) { core.onCall(id, std::move(call), body); },
+                        [&core](std::uint64_t id) { core.onMetrics(id); } },
+        toCore);
+    std::promise<int> exitCode;
+    std::atomic<bool> exiting { false };
+    NodePorts ports { &outbound, &links, &front, [&](int code) {
+                         if (!exiting.exchange(true))
+                             exitCode.set_value(code);
+                     } };
+    links.open(settings.listenPeers);
+    core.start(std::move(ports));
+    front.open(settings);
+    handleStopSignals(front.duty(), [&](int count) {
+        Closure closure = [&core, count] { core.onStopSignal(count); };
+        toCore(closure);
+    });
+    handleReloadSignals(front.duty(), [&reload] {
+        const auto checked = reload();
+        for (const auto& finding : checked.findings)
+            logEvent(LogLevel::Warning, "settings_refused", { { "field", finding.field }, { "reason", finding.reason } });
+        if (checked.findings.empty())
+            logEvent(LogLevel::Info, "settings_read_again", { { "name", checked.settings.name } });
+    });
+    logEvent(LogLevel::Info, "started", { { "name", settings.name }, { "failure_domain", settings.failureDomain }, { "callers", addressText(settings.listenCallers) }, { "peers", addressText(settings.listenPeers) }, { "store", addressText(settings.store) } });
+    const auto code = exitCode.get_future().get();
+    // Threads and fibers are left as they are: all that had to be answered or kept has been.
+    std::_Exit(code);
+}
+
+} // namespace heatherchute
--- /dev/null
+++ b/lib/Node/Peers.cpp
@@ -0,0 +1,149 @@
+#include "Core.h"
+
+namespace heatherchute {
+
+static constexpr Milliseconds helloEvery { 400 };
+/// Four heartbeats missed; a link that fell silent is replaced after this time.
+static constexpr Milliseconds silenceLimit { 1600 };
+static constexpr Milliseconds dialPause { 250 };
+
+LinkId NodeCore::ownerLink() const
+{
+    const auto& record = m_election.record();
+    for (const auto& [link, peer] : m_peers) {
+        const bool isOwners = peer.hello.ownsCell && (!record || peer.hello.fencingToken >= record->revision);
+        if (peer.isOpen && isOwners)
+            return link;
+    }
+    return 0;
+}
+
+void NodeCore::sendHello(LinkId link, Peer& peer)
+{
+    peer.lastHello = Clock::now();
+    m_ports.links->send(link, PeerHello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_desk != nullptr, addressText(m_settings.listenPeers), m_desk ? m_election.fencingToken() : 0 });
+}
+
+void NodeCore::keepLinks()
+{
+    const auto time = Clock::now();
+    std::vector<LinkId> silent;
+    for (auto& [link, peer] : m_peers) {
+        if (peer.isOpen && time - peer.lastHello >= helloEvery)
+            sendHello(link, peer);
+        if (time - peer.lastHeard > silenceLimit)
+            silent.push_back(link);
+    }
+    for (const auto link : silent) {
+        logEvent(LogLevel::Warning, "peer_silent", { { "peer", m_peers.at(link).hello.daemon }, { "address", addressText(m_peers.at(link).dialled) } });
+        m_ports.links->drop(link);
+        onLinkClosed(link);
+    }
+    const auto& record = m_election.record();
+    if (m_desk || m_election.isOwner() || !record || record->daemon == m_settings.name || time < m_nextDial)
+        return;
+    const auto address = parseAddress(record->peerAddress);
+    if (!address)
+        return;
+    for (const auto& [link, peer] : m_peers) {
+        if (peer.isOutgoing && peer.dialled == address.value())
+            return;
+    }
+    m_nextDial = time + dialPause;
+    m_ports.links->dial(address.value());
+}
+
+void NodeCore::onDialled(const Address& address, LinkId link)
+{
+    if (link == 0)
+        return;
+    auto& peer = m_peers[link];
+    peer.isOutgoing = true;
+    peer.dialled = address;
+    peer.lastHeard = Clock::now();
+}
+
+void NodeCore::onLinkOpen(LinkId link, bool outgoing)
+{
+    auto& peer = m_peers[link];
+    peer.isOpen = true;
+    peer.isOutgoing = outgoing;
+    peer.lastHeard = Clock::now();
+    sendHello(link, peer);
+}
+
+void NodeCore::onLinkClosed(LinkId link)
+{
+    const auto found = m_peers.find(link);
+    if (found == m_peers.end())
+        return;
+    const bool wasOwner = link == ownerLink();
+    logEvent(LogLevel::Info, "peer_lost", { { "peer", found->second.hello.daemon }, { "owner", wasOwner } });
+    m_peers.erase(found);
+    // What the owner was asked is asked again, over the next link.
+    if (wasOwner)
+        withdrawCalls();
+    for (auto& [id, advice] : m_advice) {
+        if (advice.link == link)
+            advice.deadline = TimePoint();
+    }
+}
+
+void NodeCore::onLinkMessage(LinkId link, PeerMessage message)
+{
+    const auto found = m_peers.find(link);
+    if (found == m_peers.end())
+        return;
+    found->second.lastHeard = Clock::now();
+    std::visit([this, link](const auto& typed) { handle(link, typed); }, message);
+}
+
+void NodeCore::handle(LinkId link, const PeerHello& hello)
+{
+    auto& peer = m_peers.at(link);
+    const bool isNew = peer.hello.daemon.empty();
+    const bool becameOwner = hello.ownsCell && !peer.hello.ownsCell;
+    peer.hello = hello;
+    if (isNew)
+        logEvent(LogLevel::Info, "peer_met", { { "peer", hello.daemon }, { "failure_domain", hello.failureDomain }, { "owner", hello.ownsCell }, { "policy", hello.policyVersion } });
+    if (m_policy && hello.policyVersion < m_policy->version)
+        m_ports.links->send(link, PeerPolicy { m_policyText });
+    if (becameOwner)
+        schedulePump();
+}
+
+void NodeCore::handle(LinkId, const PeerPolicy& policy)
+{
+    if (auto parsed = platform::parseCellPolicy(policy.text))
+        adoptPolicy(policy.text, std::move(parsed.value()), "peer");
+}
+
+void NodeCore::handle(LinkId link, const OwnerCall& call)
+{
+    if (m_desk) {
+        serveCall(call, { link, call.id });
+        schedulePump();
+        return;
+    }
+    OwnerAnswer answer;
+    answer.id = call.id;
+    answer.notOwner = true;
+    m_ports.links->send(link, answer);
+}
+
+void NodeCore::handle(LinkId, const OwnerAnswer& answer)
+{
+    onOwnerAnswer(answer);
+}
+
+void NodeCore::handle(LinkId link, const AdviceOrder& order)
+{
+    askHere(order.id, order.step, order.vms, Milliseconds(order.timeoutMs), link);
+}
+
+void NodeCore::handle(LinkId, const AdviceReport& report)
+{
+    onAdvice(report);
+}
+
+} // namespace heatherchute
--- a/lib/Runtime/Duty.cpp
+++ b/lib/Runtime/Duty.cpp
@@ -89,10 +89,11 @@
     awaitIo([&timer](auto handler) { timer.async_wait(std::move(handler)); });
 }
 
-void handleStopSignals(Duty& duty, std::function<void(int)> onSignal)
+template <typename... Signals>
+static void spawnSignalLoop(Duty& duty, std::function<void(int)> onSignal, Signals... numbers)
 {
-    duty.spawn([&duty, onSignal = std::move(onSignal)] {
-        boost::asio::signal_set signals(duty.io(), SIGTERM, SIGINT);
+    duty.spawn([&duty, onSignal = std::move(onSignal), numbers...] {
+        boost::asio::signal_set signals(duty.io(), numbers...);
         for (int count = 1;; ++count) {
             awaitIo([&signals](auto handler) {
                 signals.async_wait([handler = std::move(handler)](const boost::system::error_code& error, int) mutable {
@@ -104,4 +105,14 @@
     });
 }
 
+void handleStopSignals(Duty& duty, std::function<void(int)> onSignal)
+{
+    spawnSignalLoop(duty, std::move(onSignal), SIGTERM, SIGINT);
+}
+
+void handleReloadSignals(Duty& duty, std::function<void()> onSignal)
+{
+    spawnSignalLoop(duty, [onSignal = std::move(onSignal)](int) { onSignal(); }, SIGHUP);
+}
+
 } // namespace heatherchute
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -10,7 +10,7 @@
 {
     // The line itself carries time and level, so glog's own prefix is off.
     FLAGS_log_prefix = false;
-    FLAGS_logtostderr = true;
+    FLAGS_logtostdout = true;
     google::InitGoogleLogging(programName);
 }
 
--- a/tools/heatherchuted/main.cpp
+++ b/tools/heatherchuted/main.cpp
@@ -1,5 +1,6 @@
 /// The daemon's program: reads its settings, checks them, and runs.
 #include "heatherchute/Daemon.h"
+#include "heatherchute/Node.h"
 
 #include <boost/program_options.hpp>
 #include <iostream>
@@ -51,6 +52,32 @@
     return settings;
 }
 
+/// Runs the daemon of a cell: settings with "mode": "cell".
+int runCell(const char* program, const options::variables_map& values, const Json& json)
+{
+    const auto checked = heatherchute::parseNodeSettings(json);
+    for (const auto& finding : checked.findings)
+        std::cerr << "heatherchuted: " << finding.field << ": " << finding.reason << '\n';
+    if (!checked.findings.empty())
+        return 2;
+    if (values.count("check"))
+        return 0;
+    heatherchute::startLogging(program);
+    try {
+        return heatherchute::runNode(checked.settings, [&values] {
+            std::string error;
+            const auto again = readSettings(values, error);
+            if (error.empty())
+                return heatherchute::parseNodeSettings(again);
+            heatherchute::CheckedNodeSettings refused;
+            refused.findings.push_back({ "(file)", error });
+            return refused;
+        });
+    } catch (const std::system_error& failure) {
+        return refuse(failure.what());
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -76,6 +103,8 @@
     const auto json = readSettings(values, error);
     if (!error.empty())
         return refuse(error);
+    if (json.is_object() && json.value("mode", "") == "cell")
+        return runCell(argv[0], values, json);
     const auto checked = heatherchute::parseDaemonSettings(json);
     for (const auto& finding : checked.findings)
         std::cerr << "heatherchuted: " << finding.field << ": " << finding.reason << '\n';
