Keep the owner able to renew: cheaper passes, bounded advice, small closed jobs

Ruled out: the store's rate (under 60 writes a second), loss of links. Change: passes over the waiting work at most every 8 ms; advice only as far as room and quota reach; closed jobs keep only their phase; the submission is written after the progress, so that a cut commit leaves nothing half; connections to VMs bounded for each address; at most 250 log lines an event a second.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -186,6 +186,8 @@
     std::uint32_t doneOccurrences = 0;
     std::uint32_t placements = 0;
     TimePoint endedAt;
+    /// Estimated run time of the longest chain of steps.
+    Milliseconds chain { 0 };
 };
 
 /// One run of a task from its decision until it is surely over.
@@ -257,6 +259,8 @@
     void cancel(CallId call, const std::string& id, Now now);
     /// Nothing when no such job exists.
     std::optional<JobPhase> query(const std::string& id) const;
+    /// The job exists, but what is stored of it cannot be read.
+    bool isUnreadable(const std::string& id) const { return m_unreadable.contains(id); }
     std::uint64_t pending(const std::string& queue) const;
 
     void onBeat(const BeatAnswer& answer, Now now);
@@ -309,6 +313,7 @@
     std::string encodeSubmission(const Job& job) const;
     std::string encodeProgress(const Job& job) const;
     bool restore(const StoredJob& stored, Now now);
+    bool restoreClosed(const std::string& id, const Json& progress, Now now);
 
     // Runs.cpp
     void onEnd(Vm& vm, const FinishedTask& finished, Now now);
@@ -336,9 +341,11 @@
 
     // Placing.cpp
     void place(Now now);
+    void wantPlacing() { m_placeWanted = true; }
     std::vector<ReadyStep> readySteps(Now now);
     void placeStep(const ReadyStep& ready, Now now);
-    void askForAdvice(const ReadyStep& ready, Now now);
+    void askForAdvice(const ReadyStep& ready, Room& askable, Now now);
+    Room freeRoom(Now now) const;
     std::vector<Vm*> candidates(const ReadyStep& ready, Now now);
     std::size_t slotsOn(const Vm& vm, const ReadyStep& ready) const;
     std::size_t tasksOn(const Vm& vm, const TaskId& step) const;
@@ -357,6 +364,13 @@
     /// Share of asked VMs that advice allows, by queue.
     std::map<std::string, double> m_adviceShare;
     std::set<std::string> m_active;
+    std::set<std::string> m_unreadable;
+    /// Active jobs with occurrences that are not due yet.
+    std::set<std::string> m_scheduled;
+    /// Something has changed that may let a task start.
+    bool m_placeWanted = true;
+    TimePoint m_nextPlace;
+    TimePoint m_nextForget;
     std::set<std::string> m_dirty;
     std::set<std::string> m_forgotten;
     bool m_isTenured = true;
--- a/include/heatherchute/Http.h
+++ b/include/heatherchute/Http.h
@@ -104,10 +104,19 @@
     std::size_t maxBodyBytes = 4U << 20;
 };
 
+struct HttpClientLimits {
+    /// Idle connections kept for one address.
+    std::size_t maxIdlePerAddress = 16;
+    /// Servers drop idle connections after a minute; ours go earlier so that none is reused late.
+    Milliseconds maxIdleTime { 20'000 };
+    /// Calls at once to one address; more wait for their turn within their own time.
+    std::size_t maxCallsPerAddress = 256;
+};
+
 /// Calls other HTTP servers over kept-alive connections. Fibers of its duty only.
 class HttpClient {
 public:
-    explicit HttpClient(Duty& duty);
+    explicit HttpClient(Duty& duty, HttpClientLimits limits = {});
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
     ~HttpClient();
@@ -116,6 +125,8 @@
     /// in time. EndpointFailed: the answer broke off. A connection whose answer was not read
     /// whole is closed, so a late answer reaches nobody.
     Result<HttpResponse> call(const Address& address, const HttpRequest& request, const HttpCallOptions& options);
+    /// Closes all connections that no call uses.
+    void dropIdle();
 
 private:
     struct State;
--- a/include/heatherchute/Work.h
+++ b/include/heatherchute/Work.h
@@ -75,6 +75,9 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobSpec, payload, steps, occurrences, firstDueMs, intervalMs)
 
+/// Estimated run time of the longest chain of steps that wait for each other.
+Milliseconds chainOf(const JobSpec& spec);
+
 /// Cost of asking the queue's policy which VMs may run a step.
 struct AdvicePolicy {
     Milliseconds base { 0 };
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -53,9 +53,12 @@
     job.spec = std::make_shared<const JobSpec>(std::move(spec));
     job.acceptedUnixMs = now.unixMs;
     job.acceptedAt = now.steady;
+    job.chain = chainOf(*job.spec);
     auto& added = m_jobs.emplace(id, std::move(job)).first->second;
     m_active.insert(id);
     openOccurrences(added, now);
+    if (added.nextOccurrence < added.spec->occurrences)
+        m_scheduled.insert(id);
     markDirty(id);
     m_afterNext.push_back(std::move(after));
 }
@@ -115,6 +118,7 @@
             occurrence.steps.back().tasks.resize(step.tasks);
         }
         markDirty(job.id);
+        wantPlacing();
     }
 }
 
@@ -122,6 +126,7 @@
 {
     job.phase = phase;
     job.endedAt = now.steady;
+    wantPlacing();
     markDirty(job.id);
     why["job"] = job.id;
     why["queue"] = job.queue;
@@ -152,6 +157,11 @@
 
 void CellDesk::forgetOldJobs(Now now)
 {
+    /// Old jobs are looked for this often; how long they stay known is far longer.
+    constexpr Milliseconds lookEvery { 500 };
+    if (now.steady < m_nextForget)
+        return;
+    m_nextForget = now.steady + lookEvery;
     for (auto it = m_active.begin(); it != m_active.end();) {
         const auto& job = m_jobs.at(*it);
         const bool isOver = isFinal(job.phase) && job.shownPhase == job.phase && job.placements == 0;
@@ -191,10 +201,12 @@
 
 void CellDesk::advance(Now now)
 {
-    for (const auto& id : m_active) {
-        auto& job = m_jobs.at(id);
+    for (auto it = m_scheduled.begin(); it != m_scheduled.end();) {
+        auto& job = m_jobs.at(*it);
         if (!isFinal(job.phase))
             openOccurrences(job, now);
+        const bool isOver = isFinal(job.phase) || job.nextOccurrence >= job.spec->occurrences;
+        it = isOver ? m_scheduled.erase(it) : std::next(it);
     }
     lapseSilent(now);
     driveOrders(now);
--- a/lib/Cell/Placing.cpp
+++ b/lib/Cell/Placing.cpp
@@ -17,21 +17,6 @@
     TimePoint deadline;
 };
 
-/// Estimated run time of the job's longest chain of steps.
-static Milliseconds chainOf(const JobSpec& spec)
-{
-    std::vector<std::int64_t> ends;
-    std::int64_t longest = 0;
-    for (const auto& step : spec.steps) {
-        std::int64_t start = 0;
-        for (const auto earlier : step.after)
-            start = std::max(start, ends.at(earlier));
-        ends.push_back(start + step.estimateMs);
-        longest = std::max(longest, ends.back());
-    }
-    return Milliseconds(longest);
-}
-
 StepAdvice* CellDesk::adviceOf(const TaskId& step)
 {
     auto* const owner = job(step.job);
@@ -54,7 +39,7 @@
         if (isFinal(owner.phase) || !owner.isDurable)
             continue;
         const auto* const queue = m_policy->findQueue(owner.queue);
-        const auto objective = queue ? queue->target + std::chrono::duration_cast<Milliseconds>(chainOf(*owner.spec) * queue->stretch) : Milliseconds(0);
+        const auto objective = queue ? queue->target + std::chrono::duration_cast<Milliseconds>(owner.chain * queue->stretch) : Milliseconds(0);
         for (auto& [number, occurrence] : owner.occurrences) {
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
                 auto& step = occurrence.steps[s];
@@ -64,7 +49,7 @@
                     continue;
                 ReadyStep entry { &owner, { id, number, s, 0 }, &step, &spec, queue, {}, now.steady > owner.acceptedAt + objective * lateFactor, owner.acceptedAt + objective };
                 for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-                    const bool isFree = step.tasks[i].phase == TaskPhase::Waiting && !m_placements.contains({ id, number, s, i }) && now.steady >= step.tasks[i].notBefore;
+                    const bool isFree = step.tasks[i].phase == TaskPhase::Waiting && now.steady >= step.tasks[i].notBefore;
                     if (isFree)
                         entry.waiting.push_back(i);
                 }
@@ -219,7 +204,17 @@
     }
 }
 
-void CellDesk::askForAdvice(const ReadyStep& ready, Now now)
+Room CellDesk::freeRoom(Now now) const
+{
+    Room room;
+    for (const auto& [id, vm] : m_vms) {
+        if (mayUse(vm, now))
+            room += vm.report.capacity - vm.used;
+    }
+    return room;
+}
+
+void CellDesk::askForAdvice(const ReadyStep& ready, Room& askable, Now now)
 {
     /// Share of VMs that an unknown queue's policy is taken to allow.
     constexpr double unknownShare = 0.4;
@@ -228,8 +223,18 @@
     /// After an ask that did not lead to a start.
     constexpr Milliseconds askPause { 300 };
     auto& advice = ready.step->advice;
+    Room whole;
+    for (std::size_t i = 0; i < ready.waiting.size(); ++i)
+        whole += ready.spec->need;
+    const bool hasTickets = std::any_of(advice.allowed.begin(), advice.allowed.end(), [&](const auto& entry) { return entry.second.validUntil > now.steady; });
+    if (advice.asking || hasTickets)
+        askable -= whole;
     if (advice.asking || now.steady < advice.nextAsk)
         return;
+    // A ticket is wasted on a step whose turn does not come before it lapses.
+    const bool hasTurn = askable.cpuMilli > 0 && askable.memoryMb >= 0;
+    if (!hasTurn || !isWithinQuota(*ready.job, ready.spec->gang ? whole : ready.spec->need))
+        return;
     auto vms = candidates(ready, now);
     std::erase_if(vms, [&](const Vm* vm) { return slotsOn(*vm, ready) == 0; });
     if (vms.empty())
@@ -261,6 +266,7 @@
     ask.cost = costs.base + Milliseconds(std::lround(costs.perVmMs * static_cast<double>(ask.vms.size())));
     advice.asking = true;
     advice.nextAsk = now.steady + askPause;
+    askable -= whole;
     m_actions.emplace_back(std::move(ask));
 }
 
@@ -270,6 +276,7 @@
     if (!advice)
         return;
     advice->asking = false;
+    wantPlacing();
     if (!answer.allowed)
         return;
     /// What a ticket loses on its way back and with the start.
@@ -295,14 +302,27 @@
 
 void CellDesk::place(Now now)
 {
-    if (!m_policy)
+    /// Without an event, for tickets that lapse and VMs that are trusted again.
+    constexpr Milliseconds placeAnyway { 60 };
+    /// Between two passes, so that a busy cell spends its time on orders too.
+    constexpr Milliseconds placePause { 8 };
+    /// Steps looked at in a pass, the most urgent first.
+    constexpr std::size_t maxSteps = 250;
+    if (!m_policy || now.steady < m_nextPlace || (!m_placeWanted && now.steady < m_nextPlace + placeAnyway))
         return;
-    for (const auto& ready : readySteps(now)) {
-        const auto before = m_placements.size();
+    m_nextPlace = now.steady + placePause;
+    m_placeWanted = false;
+    auto steps = readySteps(now);
+    if (steps.size() > maxSteps)
+        steps.erase(steps.begin() + maxSteps, steps.end());
+    for (const auto& ready : steps)
         placeStep(ready, now);
-        const bool isPlaced = m_placements.size() - before == ready.waiting.size();
-        if (!isPlaced && ready.queue && ready.queue->advice)
-            askForAdvice(ready, now);
+    // Steps ask in the order in which they would be placed, as far as the room goes that is left.
+    auto askable = freeRoom(now);
+    for (auto& ready : steps) {
+        std::erase_if(ready.waiting, [&](auto index) { return ready.step->tasks[index].phase != TaskPhase::Waiting; });
+        if (!ready.waiting.empty() && ready.queue && ready.queue->advice)
+            askForAdvice(ready, askable, now);
     }
 }
 
--- a/lib/Cell/Runs.cpp
+++ b/lib/Cell/Runs.cpp
@@ -21,6 +21,7 @@
     if (auto* const owner = job(task.job))
         --owner->placements;
     m_placements.erase(found);
+    wantPlacing();
 }
 
 void CellDesk::onEnd(Vm& vm, const FinishedTask& finished, Now now)
--- a/lib/Cell/State.cpp
+++ b/lib/Cell/State.cpp
@@ -25,9 +25,11 @@
 /// A task is [phase, run, failures, checkpoint, VM, incarnation], cut where the rest is default.
 static Json encodeTask(const Task& task, const Placement* placement)
 {
-    if (task.phase == TaskPhase::Waiting && task.run == 0)
+    // A task of a job that has ended may still say that it is placed after its run is over.
+    const auto phase = task.phase == TaskPhase::Placed && !placement ? TaskPhase::Waiting : task.phase;
+    if (phase == TaskPhase::Waiting && task.run == 0)
         return Json::array();
-    auto row = Json::array({ static_cast<int>(task.phase), task.run, task.failures });
+    auto row = Json::array({ static_cast<int>(phase), task.run, task.failures });
     if (!task.checkpoint.empty() || placement)
         row.push_back(task.checkpoint);
     if (placement) {
@@ -39,6 +41,9 @@
 
 std::string CellDesk::encodeProgress(const Job& job) const
 {
+    // Of a job that is over only the phase is ever asked.
+    if (isFinal(job.phase) && job.placements == 0)
+        return toBytes({ { "phase", static_cast<int>(job.phase) }, { "queue", job.queue }, { "team", job.team } });
     auto occurrences = Json::array();
     for (const auto& [number, occurrence] : job.occurrences) {
         auto steps = Json::array();
@@ -71,9 +76,14 @@
         const auto* const known = job(id);
         if (!known)
             continue;
-        if (!known->isDurable)
-            commit.writes.push_back({ submissionPrefix + id, encodeSubmission(*known) });
+        // The submission comes last: a commit that is cut between the two leaves no half of a job
+        // that a successor would take for one.
         commit.writes.push_back({ progressPrefix + id, encodeProgress(*known) });
+        const bool isClosed = isFinal(known->phase) && known->placements == 0;
+        if (isClosed)
+            commit.writes.push_back({ submissionPrefix + id, {} });
+        else if (!known->isDurable)
+            commit.writes.push_back({ submissionPrefix + id, encodeSubmission(*known) });
         AfterCommit shown;
         shown.job = id;
         m_afterNext.push_back(std::move(shown));
@@ -94,6 +104,8 @@
     m_commitInFlight = false;
     for (auto& after : std::exchange(m_afterInFlight, {})) {
         if (auto* const written = after.job.empty() ? nullptr : job(after.job)) {
+            if (!written->isDurable)
+                wantPlacing();
             written->isDurable = true;
             // A change after the write is still to be made durable.
             if (!m_dirty.contains(written->id))
@@ -135,6 +147,23 @@
     return task;
 }
 
+bool CellDesk::restoreClosed(const std::string& id, const Json& progress, Now now)
+{
+    Job job;
+    job.id = id;
+    job.phase = static_cast<JobPhase>(progress.at("phase").get<int>());
+    // Half of a submission that was never acknowledged.
+    if (!isFinal(job.phase))
+        return true;
+    job.queue = progress.at("queue");
+    job.team = progress.at("team");
+    job.shownPhase = job.phase;
+    job.isDurable = true;
+    job.endedAt = now.steady;
+    m_jobs.emplace(id, std::move(job));
+    return true;
+}
+
 bool CellDesk::restore(const StoredJob& stored, Now now)
 {
     Job job;
@@ -142,8 +171,10 @@
     job.isDurable = true;
     std::vector<Placement> placed;
     try {
-        const auto submission = fromBytes(stored.submission);
         const auto progress = fromBytes(stored.progress);
+        if (stored.submission.empty())
+            return restoreClosed(stored.id, progress, now);
+        const auto submission = fromBytes(stored.submission);
         job.queue = submission.at("queue");
         job.team = submission.at("team");
         job.service = submission.at("service");
@@ -180,12 +211,16 @@
         }
     } catch (const Json::exception& exception) {
         m_actions.emplace_back(Decision { "stored_job_unreadable", { { "job", stored.id }, { "reason", exception.what() } } });
+        m_unreadable.insert(stored.id);
         return false;
     }
     job.shownPhase = job.phase;
     // Its age is carried over by wall time, which may be off by a clock step; it only ranks.
     job.acceptedAt = now.steady - Milliseconds(std::clamp<std::int64_t>(now.unixMs - job.acceptedUnixMs, 0, 600'000));
     job.endedAt = now.steady;
+    job.chain = chainOf(*job.spec);
+    if (job.nextOccurrence < job.spec->occurrences)
+        m_scheduled.insert(job.id);
     job.placements = static_cast<std::uint32_t>(placed.size());
     if (!isFinal(job.phase) || job.placements > 0)
         m_active.insert(job.id);
--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -27,13 +27,8 @@
 
     using ConnectionPointer = std::unique_ptr<Connection>;
 
-    /// Idle connections kept for one address.
-    constexpr std::size_t maxIdlePerAddress = 16;
-    /// Servers drop idle connections after a minute; ours go earlier so that none is reused late.
-    constexpr Seconds maxIdleTime { 20 };
-
     /// True when the peer has closed or sent bytes nobody asked for.
-    bool isStale(Connection& connection)
+    bool isStale(Connection& connection, Duration maxIdleTime)
     {
         if (Clock::now() - connection.idleSince > maxIdleTime || connection.buffer.size() > 0)
             return true;
@@ -73,11 +68,35 @@
         return response;
     }
 
+    /// Counts one call to an address for as long as it lives.
+    class CallCount {
+    public:
+        CallCount(std::map<Address, std::size_t>& calls, Address address)
+            : m_calls(calls)
+            , m_address(std::move(address))
+        {
+            ++m_calls[m_address];
+        }
+        CallCount(const CallCount&) = delete;
+        CallCount& operator=(const CallCount&) = delete;
+        ~CallCount()
+        {
+            const auto found = m_calls.find(m_address);
+            if (--found->second == 0)
+                m_calls.erase(found);
+        }
+
+    private:
+        std::map<Address, std::size_t>& m_calls;
+        Address m_address;
+    };
+
 } // namespace
 
 struct HttpClient::State {
-    explicit State(Duty& clientDuty)
+    State(Duty& clientDuty, HttpClientLimits clientLimits)
         : duty(clientDuty)
+        , limits(clientLimits)
     {
     }
 
@@ -86,7 +105,9 @@
     ConnectionPointer connect(const Address& address, Duration timeout);
 
     Duty& duty;
+    HttpClientLimits limits;
     std::map<Address, std::vector<ConnectionPointer>> idle;
+    std::map<Address, std::size_t> calls;
 };
 
 ConnectionPointer HttpClient::State::takeIdle(const Address& address)
@@ -95,7 +116,7 @@
     while (!connections.empty()) {
         auto connection = std::move(connections.back());
         connections.pop_back();
-        if (!isStale(*connection))
+        if (!isStale(*connection, limits.maxIdleTime))
             return connection;
     }
     return nullptr;
@@ -106,7 +127,7 @@
     auto& connections = idle[address];
     connection->idleSince = Clock::now();
     connection->stream.expires_never();
-    if (connections.size() < maxIdlePerAddress)
+    if (connections.size() < limits.maxIdlePerAddress)
         connections.push_back(std::move(connection));
 }
 
@@ -125,9 +146,14 @@
     return connection;
 }
 
-HttpClient::HttpClient(Duty& duty)
-    : m_state(std::make_unique<State>(duty))
+HttpClient::HttpClient(Duty& duty, HttpClientLimits limits)
+    : m_state(std::make_unique<State>(duty, limits))
+{
+}
+
+void HttpClient::dropIdle()
 {
+    m_state->idle.clear();
 }
 
 HttpClient::~HttpClient() = default;
@@ -135,9 +161,16 @@
 Result<HttpResponse> HttpClient::call(const Address& address, const HttpRequest& request, const HttpCallOptions& options)
 {
     const auto deadline = Clock::now() + options.timeout;
+    while (m_state->calls[address] >= m_state->limits.maxCallsPerAddress) {
+        if (Clock::now() >= deadline)
+            return ErrorKind::NoEndpoint;
+        constexpr Milliseconds turnPause { 2 };
+        sleepFiber(m_state->duty.io(), turnPause);
+    }
+    const CallCount counted(m_state->calls, address);
     auto connection = m_state->takeIdle(address);
     if (!connection)
-        connection = m_state->connect(address, options.timeout);
+        connection = m_state->connect(address, deadline - Clock::now());
     if (!connection)
         return ErrorKind::NoEndpoint;
 
@@ -154,6 +187,9 @@
     if (request.method == "HEAD")
         parser.skip(true);
     const auto read = awaitIo([&](auto handler) { http::async_read(stream, connection->buffer, parser, std::move(handler)); });
+    // Whatever silenced this connection may have silenced those that idle beside it.
+    if (read.error == beast::error::timeout)
+        m_state->idle.erase(address);
     if (read.error)
         return parser.is_header_done() ? ErrorKind::EndpointFailed : ErrorKind::OutcomeUnknown;
     const bool keepAlive = parser.keep_alive();
--- a/lib/Node/Calls.cpp
+++ b/lib/Node/Calls.cpp
@@ -194,9 +194,11 @@
     case OwnerCallKind::Query:
         if (const auto phase = m_desk->query(call.job))
             answer.phase = *phase;
-        else
+        else if (m_desk->isUnreadable(call.job) || m_election.tenure() != cell::Tenure::Owner)
             // A daemon that may have a successor does not know what that one has accepted.
-            answer.error = m_election.tenure() == cell::Tenure::Owner ? ErrorKind::NotFound : ErrorKind::StoreUnavailable;
+            answer.error = ErrorKind::StoreUnavailable;
+        else
+            answer.error = ErrorKind::NotFound;
         break;
     case OwnerCallKind::CountPending:
         answer.pending = m_desk->pending(call.queue);
--- a/lib/Node/Duties.cpp
+++ b/lib/Node/Duties.cpp
@@ -5,6 +5,9 @@
 
 static constexpr std::size_t ringCapacity = 16'384;
 
+/// A VM takes 64 connections from all daemons of the present and of the past minute together.
+static constexpr HttpClientLimits vmConnections { 4, Milliseconds(10'000), 8 };
+
 static void logRingFull(const char* duty)
 {
     logEvent(LogLevel::Error, "ring_full", { { "duty", duty }, { "capacity", ringCapacity } });
@@ -13,8 +16,9 @@
 NodeOutbound::NodeOutbound(const NodeSettings& settings, CorePost toCore)
     : m_duty("outside")
     , m_http(m_duty)
+    , m_vmHttp(m_duty, vmConnections)
     , m_store(m_http, settings.store)
-    , m_vms(m_http)
+    , m_vms(m_vmHttp)
     , m_toCore(std::move(toCore))
     , m_inbox(m_duty, ringCapacity, [](Closure&& body) { boost::fibers::fiber(std::move(body)).detach(); })
 {
--- a/lib/Node/Duties.h
+++ b/lib/Node/Duties.h
@@ -34,10 +34,13 @@
     platform::StoreClient& store() { return m_store; }
     platform::VmClient& vms() { return m_vms; }
     HttpClient& http() { return m_http; }
+    /// Closes idle connections to VMs, whose number of connections is bounded for all daemons.
+    void forgetVms() { m_vmHttp.dropIdle(); }
 
 private:
     Duty m_duty;
     HttpClient m_http;
+    HttpClient m_vmHttp;
     platform::StoreClient m_store;
     platform::VmClient m_vms;
     CorePost m_toCore;
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -190,6 +190,7 @@
     if (m_tenureOver)
         m_tenureOver->store(true);
     m_desk.reset();
+    m_ports.outbound->run([this] { m_ports.outbound->forgetVms(); });
     m_advice.clear();
     for (const auto& [call, origin] : std::exchange(m_origins, {})) {
         OwnerAnswer answer;
@@ -207,14 +208,15 @@
 static std::vector<cell::StoredJob> pairJobs(std::vector<platform::StoreItem> submissions, std::vector<platform::StoreItem> progress)
 {
     std::map<std::string, cell::StoredJob> jobs;
+    for (auto& item : progress) {
+        auto id = item.key.substr(cell::progressPrefix.size());
+        jobs[id] = { id, {}, std::move(item.value) };
+    }
     for (auto& item : submissions) {
         auto id = item.key.substr(cell::submissionPrefix.size());
-        jobs[id] = { id, std::move(item.value), {} };
-    }
-    for (auto& item : progress) {
-        const auto found = jobs.find(item.key.substr(cell::progressPrefix.size()));
-        if (found != jobs.end())
-            found->second.progress = std::move(item.value);
+        auto& job = jobs[id];
+        job.id = std::move(id);
+        job.submission = std::move(item.value);
     }
     std::vector<cell::StoredJob> result;
     for (auto& [id, job] : jobs)
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -2,6 +2,8 @@
 
 #include <fstream>
 #include <glog/logging.h>
+#include <map>
+#include <mutex>
 #include <sstream>
 
 namespace heatherchute {
@@ -24,8 +26,54 @@
     return nameOf(names, level);
 }
 
+namespace {
+
+    /// Bounds the lines of each event a second, so that no storm of one kind hides the others or
+    /// costs the daemon its processor.
+    class LineBudget {
+    public:
+        /// Lines of `event` that were suppressed before this one; nothing when it is over the bound.
+        std::optional<std::uint64_t> admit(std::string_view event, TimePoint now)
+        {
+            /// The busiest daemons start some 200 tasks a second, and each has a line.
+            constexpr std::uint64_t maxLinesPerSecond = 250;
+            const std::lock_guard lock(m_mutex);
+            auto found = m_events.find(event);
+            if (found == m_events.end())
+                found = m_events.emplace(std::string(event), Event {}).first;
+            auto& entry = found->second;
+            if (now - entry.since >= Seconds(1)) {
+                entry.since = now;
+                entry.lines = 0;
+            }
+            if (entry.lines >= maxLinesPerSecond) {
+                ++entry.suppressed;
+                return std::nullopt;
+            }
+            ++entry.lines;
+            return std::exchange(entry.suppressed, 0);
+        }
+
+    private:
+        struct Event {
+            TimePoint since;
+            std::uint64_t lines = 0;
+            std::uint64_t suppressed = 0;
+        };
+        std::mutex m_mutex;
+        std::map<std::string, Event, std::less<>> m_events;
+    };
+
+} // namespace
+
 void logEvent(LogLevel level, std::string_view event, Json fields)
 {
+    static LineBudget budget;
+    const auto suppressed = budget.admit(event, Clock::now());
+    if (!suppressed)
+        return;
+    if (*suppressed > 0)
+        fields["suppressed"] = *suppressed;
     const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
     fields["time_ms"] = std::chrono::duration_cast<Milliseconds>(wallTime).count();
     fields["level"] = levelName(level);
--- a/lib/Work/Work.cpp
+++ b/lib/Work/Work.cpp
@@ -54,6 +54,20 @@
     return nullptr;
 }
 
+Milliseconds chainOf(const JobSpec& spec)
+{
+    std::vector<std::int64_t> ends;
+    std::int64_t longest = 0;
+    for (const auto& step : spec.steps) {
+        std::int64_t start = 0;
+        for (const auto earlier : step.after)
+            start = std::max(start, ends.at(earlier));
+        ends.push_back(start + step.estimateMs);
+        longest = std::max(longest, ends.back());
+    }
+    return Milliseconds(longest);
+}
+
 std::string stepText(const TaskId& task)
 {
     return task.job + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step);
