Place before the submission is durable; spread long advice; keep room for urgent work

Cause: a lookup waited for its own commit and behind advice calls of half a second before it could be placed, and found no room in a burst of large jobs. Change: starts still follow the commit, placing does not; advice over 150 ms keeps to every other daemon; room is kept for the recent peak of the most urgent queues; what a team hands in beyond its weight in jobs a second goes last; a start whose ticket has lapsed is not sent.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -188,6 +188,23 @@
     TimePoint endedAt;
     /// Estimated run time of the longest chain of steps.
     Milliseconds chain { 0 };
+    /// It came on top of the rate that the team's weight grants.
+    bool isExcess = false;
+};
+
+/// What a team hands in, against the rate that its weight grants.
+struct TeamRate {
+    /// Jobs that it may still hand in within its rate.
+    double tokens = 0;
+    TimePoint filledAt;
+};
+
+/// Room of one service's VMs during a pass over the waiting work.
+struct ServiceRoom {
+    Room free;
+    Room capacity;
+    /// Processor that is kept for the most urgent queues.
+    std::int64_t reservedCpuMilli = 0;
 };
 
 /// One run of a task from its decision until it is surely over.
@@ -199,6 +216,8 @@
     Room need;
     std::string team;
     std::string ticket;
+    TimePoint ticketUntil = TimePoint::max();
+    int priority = 0;
     /// The run is durable, so orders may be sent.
     bool recorded = false;
     bool orderInFlight = false;
@@ -343,9 +362,10 @@
     void place(Now now);
     void wantPlacing() { m_placeWanted = true; }
     std::vector<ReadyStep> readySteps(Now now);
-    void placeStep(const ReadyStep& ready, Now now);
+    void placeStep(const ReadyStep& ready, ServiceRoom& room, Now now);
     void askForAdvice(const ReadyStep& ready, Room& askable, Now now);
-    Room freeRoom(Now now) const;
+    std::map<std::string, ServiceRoom> measureRooms(const std::vector<ReadyStep>& steps, Now now);
+    bool takesExcess(const std::string& team, Now now);
     std::vector<Vm*> candidates(const ReadyStep& ready, Now now);
     std::size_t slotsOn(const Vm& vm, const ReadyStep& ready) const;
     std::size_t tasksOn(const Vm& vm, const TaskId& step) const;
@@ -373,6 +393,10 @@
     TimePoint m_nextForget;
     std::set<std::string> m_dirty;
     std::set<std::string> m_forgotten;
+    std::map<std::string, TeamRate> m_teamRates;
+    /// Highest recent demand of the most urgent queues of a service, in thousandths of a core.
+    std::map<std::string, double> m_urgentPeak;
+    TimePoint m_peakAt;
     bool m_isTenured = true;
     bool m_commitInFlight = false;
     std::vector<AfterCommit> m_afterNext;
--- a/include/heatherchute/Election.h
+++ b/include/heatherchute/Election.h
@@ -65,8 +65,8 @@
 struct ElectionSettings {
     std::string daemon;
     /// Lease of the record.
-    Milliseconds lease { 2000 };
-    Milliseconds renewEvery { 400 };
+    Milliseconds lease { 1600 };
+    Milliseconds renewEvery { 300 };
     /// Taken off the lease on our side, for the call's way and the timers' lateness.
     Milliseconds margin { 200 };
     /// Claims of several daemons are spread over this time.
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -54,6 +54,7 @@
     job.acceptedUnixMs = now.unixMs;
     job.acceptedAt = now.steady;
     job.chain = chainOf(*job.spec);
+    job.isExcess = takesExcess(team, now);
     auto& added = m_jobs.emplace(id, std::move(job)).first->second;
     m_active.insert(id);
     openOccurrences(added, now);
@@ -63,6 +64,24 @@
     m_afterNext.push_back(std::move(after));
 }
 
+bool CellDesk::takesExcess(const std::string& teamName, Now now)
+{
+    /// Seconds of its rate that a team may hand in at once.
+    constexpr double burstSeconds = 1.5;
+    const auto* const team = m_policy->findTeam(teamName);
+    if (!team || team->weight <= 0)
+        return false;
+    const auto [rate, isNew] = m_teamRates.try_emplace(teamName);
+    auto& [tokens, filledAt] = rate->second;
+    const auto most = team->weight * burstSeconds;
+    tokens = isNew ? most : std::min(most, tokens + team->weight * std::chrono::duration<double>(now.steady - filledAt).count());
+    filledAt = now.steady;
+    if (tokens < 1)
+        return true;
+    tokens -= 1;
+    return false;
+}
+
 void CellDesk::cancel(CallId call, const std::string& id, Now now)
 {
     auto* const known = job(id);
--- a/lib/Cell/Placing.cpp
+++ b/lib/Cell/Placing.cpp
@@ -14,6 +14,8 @@
     std::vector<std::uint32_t> waiting;
     /// Its objective can no longer earn anything.
     bool isHopeless = false;
+    /// Its team has more than its share of the room.
+    bool isBeyondShare = false;
     TimePoint deadline;
 };
 
@@ -35,8 +37,7 @@
     std::vector<ReadyStep> ready;
     for (const auto& id : m_active) {
         auto& owner = m_jobs.at(id);
-        // Nothing starts for a job that might not be there after a crash.
-        if (isFinal(owner.phase) || !owner.isDurable)
+        if (isFinal(owner.phase))
             continue;
         const auto* const queue = m_policy->findQueue(owner.queue);
         const auto objective = queue ? queue->target + std::chrono::duration_cast<Milliseconds>(owner.chain * queue->stretch) : Milliseconds(0);
@@ -47,7 +48,7 @@
                 const bool isBlocked = std::any_of(spec.after.begin(), spec.after.end(), [&](auto earlier) { return !occurrence.steps[earlier].isDone(); });
                 if (step.isDone() || isBlocked)
                     continue;
-                ReadyStep entry { &owner, { id, number, s, 0 }, &step, &spec, queue, {}, now.steady > owner.acceptedAt + objective * lateFactor, owner.acceptedAt + objective };
+                ReadyStep entry { &owner, { id, number, s, 0 }, &step, &spec, queue, {}, now.steady > owner.acceptedAt + objective * lateFactor, false, owner.acceptedAt + objective };
                 for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
                     const bool isFree = step.tasks[i].phase == TaskPhase::Waiting && now.steady >= step.tasks[i].notBefore;
                     if (isFree)
@@ -61,7 +62,7 @@
         }
     }
     std::sort(ready.begin(), ready.end(), [](const auto& left, const auto& right) {
-        const auto rank = [](const ReadyStep& entry) { return std::make_tuple(entry.isHopeless, entry.queue ? entry.queue->priority : 0, entry.deadline, entry.id); };
+        const auto rank = [](const ReadyStep& entry) { return std::make_tuple(entry.isHopeless, entry.job->isExcess, entry.queue ? entry.queue->priority : 0, entry.deadline, entry.id); };
         return rank(left) < rank(right);
     });
     return ready;
@@ -138,9 +139,12 @@
     placement.incarnation = vm.incarnation;
     placement.need = ready.spec->usesIdleRoom ? Room {} : ready.spec->need;
     placement.team = ready.job->team;
+    placement.priority = ready.queue ? ready.queue->priority : 0;
     const auto permission = ready.step->advice.allowed.find(vm.report.id);
     if (permission != ready.step->advice.allowed.end())
         placement.ticket = permission->second.ticket;
+    if (permission != ready.step->advice.allowed.end() && ready.queue && ready.queue->advice)
+        placement.ticketUntil = permission->second.validUntil;
     auto& task = ready.step->tasks[index];
     task.phase = TaskPhase::Placed;
     task.run = run;
@@ -170,7 +174,7 @@
     });
 }
 
-void CellDesk::placeStep(const ReadyStep& ready, Now now)
+void CellDesk::placeStep(const ReadyStep& ready, ServiceRoom& room, Now now)
 {
     auto vms = candidates(ready, now);
     if (ready.queue && ready.queue->advice) {
@@ -181,6 +185,10 @@
         });
     }
     sortByFit(vms, *ready.spec);
+    const bool takesReserve = ready.spec->usesIdleRoom || !ready.queue || ready.queue->priority == 0;
+    const auto leavesReserve = [&](std::size_t tasks) {
+        return takesReserve || room.free.cpuMilli - static_cast<std::int64_t>(tasks) * ready.spec->need.cpuMilli >= room.reservedCpuMilli;
+    };
     std::uint32_t lastRun = 0;
     if (ready.spec->gang) {
         std::size_t slots = 0;
@@ -189,7 +197,7 @@
             slots += slotsOn(*vm, ready);
         for (std::size_t i = 0; i < ready.waiting.size(); ++i)
             whole += ready.spec->need;
-        if (slots < ready.waiting.size() || !isWithinQuota(*ready.job, whole))
+        if (slots < ready.waiting.size() || !leavesReserve(ready.waiting.size()) || !isWithinQuota(*ready.job, whole))
             return;
         for (const auto& task : ready.step->tasks)
             lastRun = std::max(lastRun, task.run);
@@ -198,20 +206,51 @@
     for (const auto index : ready.waiting) {
         while (vm != vms.end() && slotsOn(**vm, ready) == 0)
             ++vm;
-        if (vm == vms.end() || !isWithinQuota(*ready.job, ready.spec->need))
+        const bool isBlocked = vm == vms.end() || !isWithinQuota(*ready.job, ready.spec->need) || (!ready.spec->gang && !leavesReserve(1));
+        if (isBlocked)
             return;
+        if (!ready.spec->usesIdleRoom)
+            room.free -= ready.spec->need;
         put(ready, index, (ready.spec->gang ? lastRun : ready.step->tasks[index].run) + 1, **vm, now);
     }
 }
 
-Room CellDesk::freeRoom(Now now) const
+std::map<std::string, ServiceRoom> CellDesk::measureRooms(const std::vector<ReadyStep>& steps, Now now)
 {
-    Room room;
+    /// Time in which the memory of a past peak halves: a few runs of an urgent task.
+    constexpr double halfLifeSeconds = 6;
+    /// Urgent work never holds back more than this part of a service.
+    constexpr double mostReserved = 0.3;
+    std::map<std::string, ServiceRoom> rooms;
+    std::map<std::string, double> urgentUse;
+    std::map<std::string, double> urgentDemand;
     for (const auto& [id, vm] : m_vms) {
+        if (!vm.listed)
+            continue;
+        auto& room = rooms[vm.report.service];
+        room.capacity += vm.report.capacity;
         if (mayUse(vm, now))
-            room += vm.report.capacity - vm.used;
+            room.free += vm.report.capacity - vm.used;
+    }
+    for (const auto& [task, placement] : m_placements) {
+        const auto vm = m_vms.find(placement.vm);
+        if (placement.priority == 0 && vm != m_vms.end())
+            urgentUse[vm->second.report.service] += static_cast<double>(placement.need.cpuMilli);
+    }
+    for (const auto& ready : steps) {
+        const bool isUrgent = ready.queue && ready.queue->priority == 0 && !ready.job->isExcess && !ready.isHopeless;
+        if (isUrgent)
+            urgentDemand[ready.queue->service] += static_cast<double>(ready.spec->need.cpuMilli) * static_cast<double>(ready.waiting.size());
+    }
+    const auto decay = std::exp2(-std::chrono::duration<double>(now.steady - m_peakAt).count() / halfLifeSeconds);
+    m_peakAt = now.steady;
+    for (auto& [service, room] : rooms) {
+        auto& peak = m_urgentPeak[service];
+        peak = std::max(peak * decay, urgentUse[service] + urgentDemand[service]);
+        const auto reserved = std::min(peak - urgentUse[service], mostReserved * static_cast<double>(room.capacity.cpuMilli));
+        room.reservedCpuMilli = std::max<std::int64_t>(0, std::llround(reserved));
     }
-    return room;
+    return rooms;
 }
 
 void CellDesk::askForAdvice(const ReadyStep& ready, Room& askable, Now now)
@@ -313,16 +352,16 @@
     m_nextPlace = now.steady + placePause;
     m_placeWanted = false;
     auto steps = readySteps(now);
+    auto rooms = measureRooms(steps, now);
     if (steps.size() > maxSteps)
         steps.erase(steps.begin() + maxSteps, steps.end());
     for (const auto& ready : steps)
-        placeStep(ready, now);
+        placeStep(ready, rooms[ready.queue ? ready.queue->service : ready.job->service], now);
     // Steps ask in the order in which they would be placed, as far as the room goes that is left.
-    auto askable = freeRoom(now);
     for (auto& ready : steps) {
         std::erase_if(ready.waiting, [&](auto index) { return ready.step->tasks[index].phase != TaskPhase::Waiting; });
         if (!ready.waiting.empty() && ready.queue && ready.queue->advice)
-            askForAdvice(ready, askable, now);
+            askForAdvice(ready, rooms[ready.queue->service].free, now);
     }
 }
 
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -233,6 +233,8 @@
             continue;
         if (neverOrdered && !mayUse(vm, now))
             lost.emplace_back(id, "vm_unusable");
+        else if (neverOrdered && now.steady >= placement.ticketUntil)
+            lost.emplace_back(id, "ticket_lapsed");
         else if (vm.report.draining || !vm.listed)
             placement.stopWanted = true;
         else if (m_isTenured)
--- a/lib/Node/Actions.cpp
+++ b/lib/Node/Actions.cpp
@@ -75,14 +75,23 @@
 
 void NodeCore::run(const cell::AskAdvice& ask)
 {
+    /// Calls that take longer are kept apart from the others.
+    constexpr Milliseconds longAdvice { 150 };
     /// Beyond the service's own time: the ways, and the calls that it has before.
     constexpr Milliseconds adviceSlack { 1500 };
     // The service takes the calls of each daemon one at a time, so the least busy one asks.
     const auto time = Clock::now();
     LinkId chosen = 0;
     auto* until = &m_ownAdviceUntil;
+    const bool isLong = ask.cost > longAdvice;
+    std::size_t asked = 1;
     for (auto& [link, peer] : m_peers) {
-        if (peer.isOpen && !peer.hello.daemon.empty() && peer.adviceUntil < *until) {
+        if (!peer.isOpen || peer.hello.daemon.empty())
+            continue;
+        // Long calls keep to every other daemon, so that short ones need not wait behind them.
+        if (isLong && ++asked % 2 == 0)
+            continue;
+        if (peer.adviceUntil < *until) {
             chosen = link;
             until = &peer.adviceUntil;
         }
