Model of a cell in virtual time; room kept for gangs; ends of a reborn VM are safe

Change: no end is acknowledged until the VM's life is known from an answered heartbeat; a gang that has waited 2.5 s has room kept for it on VMs that its advice allows; passes rank first and look at the 200 most urgent steps; orders are driven from a list of their own. heatherchute-lab plays deployments against the desk, with faults, and checks starts as VMs see them.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -153,6 +153,8 @@
     std::set<std::string> denied;
     bool asking = false;
     TimePoint nextAsk;
+    /// VMs that are kept free for the step, a gang that has waited long.
+    std::set<std::string> held;
 };
 
 struct Step {
@@ -190,6 +192,11 @@
     Milliseconds chain { 0 };
     /// It came on top of the rate that the team's weight grants.
     bool isExcess = false;
+    /// Order in which jobs came to this desk.
+    std::uint64_t sequence = 0;
+    /// Policy of its queue, as of `policyOf`; none when the queue is gone.
+    const QueuePolicy* policy = nullptr;
+    const CellPolicy* policyOf = nullptr;
 };
 
 /// What a team hands in, against the rate that its weight grants.
@@ -199,14 +206,6 @@
     TimePoint filledAt;
 };
 
-/// Room of one service's VMs during a pass over the waiting work.
-struct ServiceRoom {
-    Room free;
-    Room capacity;
-    /// Processor that is kept for the most urgent queues.
-    std::int64_t reservedCpuMilli = 0;
-};
-
 /// One run of a task from its decision until it is surely over.
 struct Placement {
     TaskId task;
@@ -243,6 +242,8 @@
     std::set<TaskId> placements;
     /// It has answered under this ownership.
     bool fenced = false;
+    /// Its newest heartbeat was answered, so that the life which holds its ends is known.
+    bool isLifeKnown = false;
     unsigned misses = 0;
     TimePoint lastAnswer;
     /// Its clock at `clockAt`; zero when unknown.
@@ -260,6 +261,21 @@
     std::string lastFailedJob;
 };
 
+/// Room of one service's VMs during a pass over the waiting work.
+struct ServiceRoom {
+    /// VMs that may take work now.
+    std::vector<Vm*> usable;
+    /// No VM has more than this free.
+    Room largest;
+    Room free;
+    Room capacity;
+    /// VMs kept for a gang, and the gang's step.
+    std::set<const Vm*> held;
+    std::optional<TaskId> heldFor;
+    /// Processor that is kept for the most urgent queues.
+    std::int64_t reservedCpuMilli = 0;
+};
+
 class CellDesk {
 public:
     /// `inheritedLeaseEnd`: by then every lease that an earlier owner gave has run out.
@@ -363,11 +379,15 @@
     void wantPlacing() { m_placeWanted = true; }
     std::vector<ReadyStep> readySteps(Now now);
     void placeStep(const ReadyStep& ready, ServiceRoom& room, Now now);
-    void askForAdvice(const ReadyStep& ready, Room& askable, Now now);
+    void holdForGang(const ReadyStep& ready, ServiceRoom& room, Now now);
+    void askForAdvice(const ReadyStep& ready, ServiceRoom& room, Now now);
     std::map<std::string, ServiceRoom> measureRooms(const std::vector<ReadyStep>& steps, Now now);
     bool takesExcess(const std::string& team, Now now);
-    std::vector<Vm*> candidates(const ReadyStep& ready, Now now);
-    std::size_t slotsOn(const Vm& vm, const ReadyStep& ready) const;
+    const QueuePolicy* policyOf(Job& job) const;
+    bool mayRun(const Vm& vm, const ReadyStep& ready) const;
+    std::size_t slotsIn(const Room& room, const Vm& vm, const ReadyStep& ready) const;
+    std::size_t slotsOn(const Vm& vm, const ReadyStep& ready) const { return slotsIn(vm.report.capacity - vm.used, vm, ready); }
+    bool isHeldFromOthers(const Vm& vm, const ReadyStep& ready, const ServiceRoom& room) const;
     std::size_t tasksOn(const Vm& vm, const TaskId& step) const;
     bool isWithinQuota(const Job& job, const Room& more) const;
     void put(const ReadyStep& ready, std::uint32_t index, std::uint32_t run, Vm& vm, Now now);
@@ -380,10 +400,13 @@
     std::map<std::string, Job> m_jobs;
     std::map<std::string, Vm> m_vms;
     std::map<TaskId, Placement> m_placements;
+    /// Placements that an order is to be sent for, now or later.
+    std::set<TaskId> m_orderable;
     std::map<std::string, Room> m_teamUse;
     /// Share of asked VMs that advice allows, by queue.
     std::map<std::string, double> m_adviceShare;
-    std::set<std::string> m_active;
+    std::map<std::string, Job*> m_active;
+    std::uint64_t m_nextSequence = 1;
     std::set<std::string> m_unreadable;
     /// Active jobs with occurrences that are not due yet.
     std::set<std::string> m_scheduled;
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -56,7 +56,8 @@
     job.chain = chainOf(*job.spec);
     job.isExcess = takesExcess(team, now);
     auto& added = m_jobs.emplace(id, std::move(job)).first->second;
-    m_active.insert(id);
+    added.sequence = m_nextSequence++;
+    m_active.emplace(id, &added);
     openOccurrences(added, now);
     if (added.nextOccurrence < added.spec->occurrences)
         m_scheduled.insert(id);
@@ -111,10 +112,8 @@
 std::uint64_t CellDesk::pending(const std::string& queue) const
 {
     std::uint64_t count = 0;
-    for (const auto& id : m_active) {
-        const auto& job = m_jobs.at(id);
-        count += job.queue == queue && job.phase == JobPhase::Queued ? 1 : 0;
-    }
+    for (const auto& [id, job] : m_active)
+        count += job->phase == JobPhase::Queued && job->queue == queue ? 1 : 0;
     return count;
 }
 
@@ -182,7 +181,7 @@
         return;
     m_nextForget = now.steady + lookEvery;
     for (auto it = m_active.begin(); it != m_active.end();) {
-        const auto& job = m_jobs.at(*it);
+        const auto& job = *it->second;
         const bool isOver = isFinal(job.phase) && job.shownPhase == job.phase && job.placements == 0;
         it = isOver ? m_active.erase(it) : std::next(it);
     }
@@ -200,8 +199,8 @@
 CellDesk::Figures CellDesk::figures() const
 {
     Figures figures { m_jobs.size(), 0, m_placements.size(), 0, 0 };
-    for (const auto& id : m_active) {
-        for (const auto& [number, occurrence] : m_jobs.at(id).occurrences) {
+    for (const auto& [id, job] : m_active) {
+        for (const auto& [number, occurrence] : job->occurrences) {
             for (const auto& step : occurrence.steps)
                 figures.waitingTasks += static_cast<std::size_t>(std::count_if(step.tasks.begin(), step.tasks.end(), [](const auto& task) { return task.phase == TaskPhase::Waiting; }));
         }
--- a/lib/Cell/Placing.cpp
+++ b/lib/Cell/Placing.cpp
@@ -14,8 +14,6 @@
     std::vector<std::uint32_t> waiting;
     /// Its objective can no longer earn anything.
     bool isHopeless = false;
-    /// Its team has more than its share of the room.
-    bool isBeyondShare = false;
     TimePoint deadline;
 };
 
@@ -30,41 +28,80 @@
     return &occurrence->second.steps[step.step].advice;
 }
 
+const QueuePolicy* CellDesk::policyOf(Job& job) const
+{
+    if (job.policyOf != m_policy.get()) {
+        job.policy = m_policy->findQueue(job.queue);
+        job.policyOf = m_policy.get();
+    }
+    return job.policy;
+}
+
+namespace {
+
+    /// A step that may have waiting tasks, with what ranks it.
+    struct RankedStep {
+        bool isHopeless = false;
+        bool isExcess = false;
+        int priority = 0;
+        TimePoint deadline;
+        std::uint64_t sequence = 0;
+        std::uint32_t occurrence = 0;
+        std::uint32_t step = 0;
+        Job* job = nullptr;
+
+        auto rank() const { return std::tie(isHopeless, isExcess, priority, deadline, sequence, occurrence, step); }
+    };
+
+} // namespace
+
+/// Whether the step's tasks may start as far as the job itself goes.
+static bool isOpen(const Job& job, const Occurrence& occurrence, std::uint32_t number, Now now)
+{
+    const auto& step = occurrence.steps[number];
+    const auto& spec = job.spec->steps[number];
+    if (step.isDone())
+        return false;
+    if (std::any_of(spec.after.begin(), spec.after.end(), [&](auto earlier) { return !occurrence.steps[earlier].isDone(); }))
+        return false;
+    const auto isFree = [&](const Task& task) { return task.phase == TaskPhase::Waiting && now.steady >= task.notBefore; };
+    // A gang starts whole, so every earlier run of it must be over.
+    return spec.gang ? std::all_of(step.tasks.begin(), step.tasks.end(), isFree) : std::any_of(step.tasks.begin(), step.tasks.end(), isFree);
+}
+
 std::vector<CellDesk::ReadyStep> CellDesk::readySteps(Now now)
 {
     /// Past this many times its objective a job earns nothing.
     constexpr int lateFactor = 3;
-    std::vector<ReadyStep> ready;
-    for (const auto& id : m_active) {
-        auto& owner = m_jobs.at(id);
-        if (isFinal(owner.phase))
+    /// Steps looked at in a pass, the most urgent first.
+    constexpr std::size_t maxSteps = 200;
+    std::vector<RankedStep> ranked;
+    for (auto& [id, owner] : m_active) {
+        if (isFinal(owner->phase))
             continue;
-        const auto* const queue = m_policy->findQueue(owner.queue);
-        const auto objective = queue ? queue->target + std::chrono::duration_cast<Milliseconds>(owner.chain * queue->stretch) : Milliseconds(0);
-        for (auto& [number, occurrence] : owner.occurrences) {
+        const auto* const queue = policyOf(*owner);
+        const auto objective = queue ? queue->target + std::chrono::duration_cast<Milliseconds>(owner->chain * queue->stretch) : Milliseconds(0);
+        for (const auto& [number, occurrence] : owner->occurrences) {
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-                auto& step = occurrence.steps[s];
-                const auto& spec = owner.spec->steps[s];
-                const bool isBlocked = std::any_of(spec.after.begin(), spec.after.end(), [&](auto earlier) { return !occurrence.steps[earlier].isDone(); });
-                if (step.isDone() || isBlocked)
-                    continue;
-                ReadyStep entry { &owner, { id, number, s, 0 }, &step, &spec, queue, {}, now.steady > owner.acceptedAt + objective * lateFactor, false, owner.acceptedAt + objective };
-                for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-                    const bool isFree = step.tasks[i].phase == TaskPhase::Waiting && now.steady >= step.tasks[i].notBefore;
-                    if (isFree)
-                        entry.waiting.push_back(i);
-                }
-                // A gang starts whole, so every earlier run of it must be over.
-                if (entry.waiting.empty() || (spec.gang && entry.waiting.size() != step.tasks.size()))
-                    continue;
-                ready.push_back(std::move(entry));
+                if (isOpen(*owner, occurrence, s, now))
+                    ranked.push_back({ now.steady > owner->acceptedAt + objective * lateFactor, owner->isExcess, queue ? queue->priority : 0, owner->acceptedAt + objective, owner->sequence, number, s, owner });
             }
         }
     }
-    std::sort(ready.begin(), ready.end(), [](const auto& left, const auto& right) {
-        const auto rank = [](const ReadyStep& entry) { return std::make_tuple(entry.isHopeless, entry.job->isExcess, entry.queue ? entry.queue->priority : 0, entry.deadline, entry.id); };
-        return rank(left) < rank(right);
-    });
+    const auto count = std::min(maxSteps, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(), [](const auto& left, const auto& right) { return left.rank() < right.rank(); });
+    ranked.resize(count);
+    std::vector<ReadyStep> ready;
+    ready.reserve(count);
+    for (const auto& entry : ranked) {
+        auto& step = entry.job->occurrences.at(entry.occurrence).steps[entry.step];
+        ReadyStep row { entry.job, { entry.job->id, entry.occurrence, entry.step, 0 }, &step, &entry.job->spec->steps[entry.step], entry.job->policy, {}, entry.isHopeless, entry.deadline };
+        for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+            if (step.tasks[i].phase == TaskPhase::Waiting && now.steady >= step.tasks[i].notBefore)
+                row.waiting.push_back(i);
+        }
+        ready.push_back(std::move(row));
+    }
     return ready;
 }
 
@@ -79,12 +116,11 @@
     return count;
 }
 
-std::size_t CellDesk::slotsOn(const Vm& vm, const ReadyStep& ready) const
+std::size_t CellDesk::slotsIn(const Room& room, const Vm& vm, const ReadyStep& ready) const
 {
     constexpr std::size_t unlimited = 1000;
     auto slots = unlimited;
     if (!ready.spec->usesIdleRoom) {
-        const auto room = vm.report.capacity - vm.used;
         const auto take = [&slots](std::int64_t free, std::int64_t need) {
             if (need > 0)
                 slots = std::min(slots, static_cast<std::size_t>(std::max<std::int64_t>(0, free / need)));
@@ -93,7 +129,7 @@
         take(room.memoryMb, ready.spec->need.memoryMb);
         take(room.accelerators, ready.spec->need.accelerators);
     }
-    if (ready.spec->maxTasksPerVm > 0) {
+    if (slots > 0 && ready.spec->maxTasksPerVm > 0) {
         const auto there = tasksOn(vm, ready.id);
         slots = std::min<std::size_t>(slots, there < ready.spec->maxTasksPerVm ? ready.spec->maxTasksPerVm - there : 0);
     }
@@ -112,21 +148,23 @@
     return isWithin(total.cpuMilli, limit.cpuMilli) && isWithin(total.memoryMb, limit.memoryMb) && isWithin(total.accelerators, limit.accelerators);
 }
 
-std::vector<Vm*> CellDesk::candidates(const ReadyStep& ready, Now now)
+bool CellDesk::mayRun(const Vm& vm, const ReadyStep& ready) const
 {
-    const auto& service = ready.queue ? ready.queue->service : ready.job->service;
-    std::vector<Vm*> result;
-    for (auto& [id, vm] : m_vms) {
-        if (vm.report.service != service || !mayUse(vm, now))
-            continue;
-        const auto& label = ready.spec->requiredLabel;
-        if (!label.empty() && std::find(vm.report.labels.begin(), vm.report.labels.end(), label) == vm.report.labels.end())
-            continue;
-        if (ready.step->advice.denied.contains(id))
-            continue;
-        result.push_back(&vm);
-    }
-    return result;
+    const auto& label = ready.spec->requiredLabel;
+    const auto& labels = vm.report.labels;
+    if (!label.empty() && std::find(labels.begin(), labels.end(), label) == labels.end())
+        return false;
+    return !ready.step->advice.denied.contains(vm.report.id);
+}
+
+bool CellDesk::isHeldFromOthers(const Vm& vm, const ReadyStep& ready, const ServiceRoom& room) const
+{
+    /// Work this short may pass through room that a gang waits for.
+    constexpr std::int64_t shortRunMs = 1500;
+    if (!room.heldFor || !room.held.contains(&vm) || *room.heldFor == ready.id)
+        return false;
+    const bool isShort = ready.queue && ready.queue->priority == 0 && ready.spec->estimateMs <= shortRunMs;
+    return !isShort;
 }
 
 void CellDesk::put(const ReadyStep& ready, std::uint32_t index, std::uint32_t run, Vm& vm, Now now)
@@ -174,16 +212,28 @@
     });
 }
 
+/// Whether a valid permission lets the step run on the VM now.
+static bool isPermitted(const StepAdvice& advice, const Vm& vm, Now now)
+{
+    const auto permission = advice.allowed.find(vm.report.id);
+    return permission != advice.allowed.end() && permission->second.incarnation == vm.incarnation && permission->second.validUntil > now.steady;
+}
+
 void CellDesk::placeStep(const ReadyStep& ready, ServiceRoom& room, Now now)
 {
-    auto vms = candidates(ready, now);
-    if (ready.queue && ready.queue->advice) {
-        const auto& allowed = ready.step->advice.allowed;
-        std::erase_if(vms, [&](const Vm* vm) {
-            const auto permission = allowed.find(vm->report.id);
-            return permission == allowed.end() || permission->second.incarnation != vm->incarnation || permission->second.validUntil <= now.steady;
-        });
+    if (!ready.spec->usesIdleRoom && !ready.spec->need.fitsIn(room.largest))
+        return;
+    const bool needsAdvice = ready.queue && ready.queue->advice;
+    if (needsAdvice && ready.step->advice.allowed.empty())
+        return;
+    std::vector<Vm*> vms;
+    for (auto* const vm : room.usable) {
+        const bool isFit = slotsOn(*vm, ready) > 0 && mayRun(*vm, ready) && !isHeldFromOthers(*vm, ready, room) && (!needsAdvice || isPermitted(ready.step->advice, *vm, now));
+        if (isFit)
+            vms.push_back(vm);
     }
+    if (vms.empty())
+        return;
     sortByFit(vms, *ready.spec);
     const bool takesReserve = ready.spec->usesIdleRoom || !ready.queue || ready.queue->priority == 0;
     const auto leavesReserve = [&](std::size_t tasks) {
@@ -215,6 +265,48 @@
     }
 }
 
+void CellDesk::holdForGang(const ReadyStep& ready, ServiceRoom& room, Now now)
+{
+    /// A gang waits this long for room by chance before room is kept for it. The large runs
+    /// that it waits for are a few seconds long.
+    constexpr Milliseconds gangPatience { 2500 };
+    const bool isGang = ready.spec->gang && ready.step->tasks.size() > 1;
+    if (!isGang || room.heldFor || now.steady - ready.job->acceptedAt < gangPatience)
+        return;
+    Room whole;
+    for (std::size_t i = 0; i < ready.waiting.size(); ++i)
+        whole += ready.spec->need;
+    if (!isWithinQuota(*ready.job, whole))
+        return;
+    const auto& advice = ready.step->advice;
+    const bool needsAdvice = ready.queue && ready.queue->advice;
+    std::vector<Vm*> vms;
+    for (auto* const vm : room.usable) {
+        const bool isCandidate = mayRun(*vm, ready) && (!needsAdvice || advice.allowed.contains(vm->report.id)) && slotsIn(vm->report.capacity, *vm, ready) > 0;
+        if (isCandidate)
+            vms.push_back(vm);
+    }
+    std::sort(vms.begin(), vms.end(), [&](const Vm* left, const Vm* right) {
+        const auto rank = [&](const Vm* vm) { return std::make_tuple(!advice.held.contains(vm->report.id), vm->used.cpuMilli); };
+        return rank(left) < rank(right);
+    });
+    std::size_t slots = 0;
+    std::set<const Vm*> held;
+    for (auto* const vm : vms) {
+        if (slots >= ready.waiting.size())
+            break;
+        slots += slotsIn(vm->report.capacity, *vm, ready);
+        held.insert(vm);
+    }
+    if (slots < ready.waiting.size())
+        return;
+    room.heldFor = ready.id;
+    room.held = std::move(held);
+    ready.step->advice.held.clear();
+    for (const auto* const vm : room.held)
+        ready.step->advice.held.insert(vm->report.id);
+}
+
 std::map<std::string, ServiceRoom> CellDesk::measureRooms(const std::vector<ReadyStep>& steps, Now now)
 {
     /// Time in which the memory of a past peak halves: a few runs of an urgent task.
@@ -224,13 +316,17 @@
     std::map<std::string, ServiceRoom> rooms;
     std::map<std::string, double> urgentUse;
     std::map<std::string, double> urgentDemand;
-    for (const auto& [id, vm] : m_vms) {
+    for (auto& [id, vm] : m_vms) {
         if (!vm.listed)
             continue;
         auto& room = rooms[vm.report.service];
         room.capacity += vm.report.capacity;
-        if (mayUse(vm, now))
-            room.free += vm.report.capacity - vm.used;
+        if (!mayUse(vm, now))
+            continue;
+        const auto free = vm.report.capacity - vm.used;
+        room.free += free;
+        room.usable.push_back(&vm);
+        room.largest = { std::max(room.largest.cpuMilli, free.cpuMilli), std::max(room.largest.memoryMb, free.memoryMb), std::max(room.largest.accelerators, free.accelerators) };
     }
     for (const auto& [task, placement] : m_placements) {
         const auto vm = m_vms.find(placement.vm);
@@ -253,7 +349,7 @@
     return rooms;
 }
 
-void CellDesk::askForAdvice(const ReadyStep& ready, Room& askable, Now now)
+void CellDesk::askForAdvice(const ReadyStep& ready, ServiceRoom& room, Now now)
 {
     /// Share of VMs that an unknown queue's policy is taken to allow.
     constexpr double unknownShare = 0.4;
@@ -267,45 +363,54 @@
         whole += ready.spec->need;
     const bool hasTickets = std::any_of(advice.allowed.begin(), advice.allowed.end(), [&](const auto& entry) { return entry.second.validUntil > now.steady; });
     if (advice.asking || hasTickets)
-        askable -= whole;
+        room.free -= whole;
     if (advice.asking || now.steady < advice.nextAsk)
         return;
+    const bool isHolder = room.heldFor == ready.id;
+    // A gang that room cannot be kept for yet learns first where it may run at all.
+    const bool learns = ready.spec->gang && advice.allowed.empty() && advice.denied.empty();
     // A ticket is wasted on a step whose turn does not come before it lapses.
-    const bool hasTurn = askable.cpuMilli > 0 && askable.memoryMb >= 0;
+    const bool hasTurn = isHolder || learns || (room.free.cpuMilli > 0 && room.free.memoryMb >= 0);
     if (!hasTurn || !isWithinQuota(*ready.job, ready.spec->gang ? whole : ready.spec->need))
         return;
-    auto vms = candidates(ready, now);
-    std::erase_if(vms, [&](const Vm* vm) { return slotsOn(*vm, ready) == 0; });
-    if (vms.empty())
-        return;
+    const auto isKnown = [&](const Vm* vm) { return advice.allowed.contains(vm->report.id); };
     const auto known = m_adviceShare.find(ready.job->queue);
     const auto share = std::max(0.05, known == m_adviceShare.end() ? unknownShare : known->second);
-    const auto isKnown = [&](const Vm* vm) { return advice.allowed.contains(vm->report.id); };
+    std::vector<Vm*> vms;
     double expected = 0;
-    for (const auto* const vm : vms)
-        expected += static_cast<double>(slotsOn(*vm, ready)) * (isKnown(vm) ? 1.0 : share);
-    // A gang that would not fit even if luck is fair waits for more room before it asks.
-    if (ready.spec->gang && expected < static_cast<double>(ready.waiting.size()) && advice.allowed.empty())
+    for (auto* const vm : room.usable) {
+        const auto slots = slotsOn(*vm, ready);
+        const bool isAskable = mayRun(*vm, ready) && !isHeldFromOthers(*vm, ready, room) && (slots > 0 || (ready.spec->gang && !isKnown(vm)));
+        if (!isAskable)
+            continue;
+        vms.push_back(vm);
+        expected += static_cast<double>(slots) * (isKnown(vm) ? 1.0 : share);
+    }
+    const auto needed = static_cast<double>(ready.waiting.size());
+    const bool isAllAsked = std::all_of(vms.begin(), vms.end(), isKnown);
+    // Tickets for a gang that does not fit now would lapse; those that teach something are asked for.
+    if (vms.empty() || (ready.spec->gang && expected < needed && isAllAsked))
         return;
     std::sort(vms.begin(), vms.end(), [&](const Vm* left, const Vm* right) {
         const auto rank = [&](const Vm* vm) { return std::make_tuple(!isKnown(vm), -static_cast<std::int64_t>(std::min<std::size_t>(slotsOn(*vm, ready), ready.waiting.size())), stableHash(ready.id.job + vm->report.id)); };
         return rank(left) < rank(right);
     });
     // Enough VMs that half as many again as are needed should be allowed.
-    const auto wanted = 1.5 * static_cast<double>(ready.waiting.size()) + 1;
+    const auto wanted = 1.5 * needed + 1;
     AskAdvice ask { ready.id, {}, Milliseconds(0) };
     double named = 0;
     for (const auto* const vm : vms) {
         if (named >= wanted || ask.vms.size() >= maxNamed)
             break;
-        named += static_cast<double>(std::min(slotsOn(*vm, ready), ready.waiting.size())) * (isKnown(vm) ? 1.0 : share);
+        const auto slots = std::max<std::size_t>(1, std::min(slotsOn(*vm, ready), ready.waiting.size()));
+        named += static_cast<double>(slots) * (isKnown(vm) ? 1.0 : share);
         ask.vms.push_back(vm->report.id);
     }
     const auto& costs = *ready.queue->advice;
     ask.cost = costs.base + Milliseconds(std::lround(costs.perVmMs * static_cast<double>(ask.vms.size())));
     advice.asking = true;
     advice.nextAsk = now.steady + askPause;
-    askable -= whole;
+    room.free -= whole;
     m_actions.emplace_back(std::move(ask));
 }
 
@@ -328,7 +433,8 @@
             advice->allowed[vmId] = { ticket, vm->second.incarnation, now.steady + answer.validity - ticketMargin };
     }
     advice->denied.merge(denied);
-    advice->nextAsk = now.steady + answer.validity - ticketMargin;
+    // Without a VM with room among the allowed ones the rest is asked about soon.
+    advice->nextAsk = now.steady + (answer.allowed->empty() ? Milliseconds(0) : answer.validity / 2);
     /// Weight of one answer in the running mean.
     constexpr double weight = 0.1;
     if (const auto* const owner = job(answer.step.job); owner && !answer.asked.empty()) {
@@ -345,23 +451,24 @@
     constexpr Milliseconds placeAnyway { 60 };
     /// Between two passes, so that a busy cell spends its time on orders too.
     constexpr Milliseconds placePause { 8 };
-    /// Steps looked at in a pass, the most urgent first.
-    constexpr std::size_t maxSteps = 250;
     if (!m_policy || now.steady < m_nextPlace || (!m_placeWanted && now.steady < m_nextPlace + placeAnyway))
         return;
     m_nextPlace = now.steady + placePause;
     m_placeWanted = false;
     auto steps = readySteps(now);
     auto rooms = measureRooms(steps, now);
-    if (steps.size() > maxSteps)
-        steps.erase(steps.begin() + maxSteps, steps.end());
-    for (const auto& ready : steps)
-        placeStep(ready, rooms[ready.queue ? ready.queue->service : ready.job->service], now);
+    for (const auto& ready : steps) {
+        auto& room = rooms[ready.queue ? ready.queue->service : ready.job->service];
+        const auto before = m_placements.size();
+        placeStep(ready, room, now);
+        if (m_placements.size() == before)
+            holdForGang(ready, room, now);
+    }
     // Steps ask in the order in which they would be placed, as far as the room goes that is left.
     for (auto& ready : steps) {
         std::erase_if(ready.waiting, [&](auto index) { return ready.step->tasks[index].phase != TaskPhase::Waiting; });
         if (!ready.waiting.empty() && ready.queue && ready.queue->advice)
-            askForAdvice(ready, rooms[ready.queue->service].free, now);
+            askForAdvice(ready, rooms[ready.queue->service], now);
     }
 }
 
--- a/lib/Cell/Runs.cpp
+++ b/lib/Cell/Runs.cpp
@@ -20,6 +20,7 @@
     m_teamUse[placement.team] -= placement.need;
     if (auto* const owner = job(task.job))
         --owner->placements;
+    m_orderable.erase(task);
     m_placements.erase(found);
     wantPlacing();
 }
@@ -151,6 +152,7 @@
             continue;
         other->second.stopWanted = true;
         other->second.nextOrderAt = now.steady;
+        m_orderable.insert(other->first);
     }
 }
 
@@ -159,6 +161,7 @@
     for (auto it = m_placements.lower_bound({ job.id, 0, 0, 0 }); it != m_placements.end() && it->first.job == job.id; ++it) {
         it->second.stopWanted = true;
         it->second.nextOrderAt = now.steady;
+        m_orderable.insert(it->first);
     }
 }
 
--- a/lib/Cell/State.cpp
+++ b/lib/Cell/State.cpp
@@ -117,8 +117,10 @@
             m_actions.emplace_back(*after.answer);
         if (after.start) {
             const auto placed = m_placements.find(*after.start);
-            if (placed != m_placements.end() && placed->second.run == after.run)
+            if (placed != m_placements.end() && placed->second.run == after.run) {
                 placed->second.recorded = true;
+                m_orderable.insert(placed->first);
+            }
         }
         if (after.acknowledge > 0) {
             const auto vm = m_vms.find(after.vm);
@@ -222,8 +224,7 @@
     if (job.nextOccurrence < job.spec->occurrences)
         m_scheduled.insert(job.id);
     job.placements = static_cast<std::uint32_t>(placed.size());
-    if (!isFinal(job.phase) || job.placements > 0)
-        m_active.insert(job.id);
+    job.sequence = m_nextSequence++;
     for (auto& placement : placed) {
         auto& vm = m_vms[placement.vm];
         vm.report.id = placement.vm;
@@ -233,9 +234,14 @@
         vm.placements.insert(placement.task);
         m_teamUse[placement.team] += placement.need;
         placement.stopWanted = isFinal(job.phase);
+        if (placement.stopWanted)
+            m_orderable.insert(placement.task);
         m_placements.emplace(placement.task, std::move(placement));
     }
-    m_jobs.emplace(job.id, std::move(job));
+    const bool isActive = !isFinal(job.phase) || job.placements > 0;
+    auto& added = m_jobs.emplace(job.id, std::move(job)).first->second;
+    if (isActive)
+        m_active.emplace(added.id, &added);
     return true;
 }
 
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -34,7 +34,7 @@
 {
     /// Without an answer for longer than this a VM gets no new work.
     constexpr Milliseconds recentAnswer { 2600 };
-    return vm.listed && !vm.report.draining && vm.fenced && vm.misses == 0 && vm.clockMs > 0 && now.steady >= vm.distrustedUntil && now.steady - vm.lastAnswer < recentAnswer;
+    return vm.listed && !vm.report.draining && vm.fenced && vm.isLifeKnown && vm.misses == 0 && vm.clockMs > 0 && now.steady >= vm.distrustedUntil && now.steady - vm.lastAnswer < recentAnswer;
 }
 
 void CellDesk::distrust(Vm& vm, Milliseconds time, std::string_view why, Now now)
@@ -57,6 +57,7 @@
         if (isNewLife) {
             vm.nextBeat = now.steady;
             vm.misses = 0;
+            vm.isLifeKnown = false;
         }
         if (vm.leaseEnd < m_inheritedLeaseEnd)
             vm.leaseEnd = m_inheritedLeaseEnd;
@@ -69,12 +70,13 @@
     for (auto& [id, vm] : m_vms) {
         if (vm.beatInFlight || now.steady < vm.nextBeat || vm.report.address.port == 0)
             continue;
-        BeatVm beat { id, vm.report.address, 0, vm.acknowledged, Milliseconds(0) };
+        // Another life of the VM numbers its ends anew, and must not forget any on an old number.
+        BeatVm beat { id, vm.report.address, 0, vm.isLifeKnown ? vm.acknowledged : 0, Milliseconds(0) };
         if (m_isTenured && vm.fenced && vm.misses < missesBeforeSilence) {
             beat.deadlineMs = vmDeadline(vm, now);
             extendLeaseEnd(vm, now);
         }
-        if (vm.fenced && vm.misses == 0 && vm.processed == vm.acknowledged && vm.clockMs > 0)
+        if (vm.isLifeKnown && vm.misses == 0 && vm.processed == vm.acknowledged && vm.clockMs > 0)
             beat.wait = beatWait;
         vm.beatInFlight = true;
         m_actions.emplace_back(std::move(beat));
@@ -136,6 +138,7 @@
         m_actions.emplace_back(LostOwnership { answer.vm });
         return;
     }
+    vm.isLifeKnown = answer.state.has_value();
     if (!answer.state) {
         if (++vm.misses == missesBeforeSilence)
             m_actions.emplace_back(Decision { "vm_silent", { { "vm", answer.vm }, { "placements", vm.placements.size() } } });
@@ -217,7 +220,14 @@
 void CellDesk::driveOrders(Now now)
 {
     std::vector<std::pair<TaskId, std::string_view>> lost;
-    for (auto& [id, placement] : m_placements) {
+    for (auto it = m_orderable.begin(); it != m_orderable.end();) {
+        auto& placement = m_placements.at(*it);
+        const bool isSettled = placement.recorded && (placement.stopWanted ? placement.stopAnswered : placement.started);
+        if (isSettled) {
+            it = m_orderable.erase(it);
+            continue;
+        }
+        const auto& id = *it++;
         if (!placement.recorded || placement.orderInFlight || now.steady < placement.nextOrderAt)
             continue;
         auto& vm = m_vms.at(placement.vm);
@@ -225,12 +235,10 @@
         if (placement.stopWanted) {
             if (neverOrdered)
                 lost.emplace_back(id, "stopped_before_start");
-            else if (!placement.stopAnswered && vm.report.address.port != 0)
+            else if (vm.report.address.port != 0)
                 sendStop(placement, vm);
             continue;
         }
-        if (placement.started)
-            continue;
         if (neverOrdered && !mayUse(vm, now))
             lost.emplace_back(id, "vm_unusable");
         else if (neverOrdered && now.steady >= placement.ticketUntil)
--- /dev/null
+++ b/tools/cell-model/CellModel.h
@@ -0,0 +1,107 @@
+/// A model of what surrounds a cell's owner, in virtual time: VMs that run tasks under leases, a
+/// store, an advice service, callers, and faults of all of them. Drives a CellDesk and checks what
+/// must always hold from what the VMs see. Deterministic for a seed.
+#pragma once
+
+#include "heatherchute/Cell.h"
+
+#include <random>
+
+namespace heatherchute::cell {
+
+/// Arrival law of one queue.
+struct ModelQueue {
+    QueuePolicy policy;
+    double jobsPerSecond = 1;
+    double steps = 1;
+    double tasks = 2;
+    std::uint32_t maxTasks = 48;
+    double runMs = 800;
+    double cpuMilli = 1000;
+    double memoryMb = 1000;
+    /// Share of steps that are gangs, that checkpoint, and that spread one task a VM.
+    double gangShare = 0;
+    double checkpointShare = 0;
+    double spreadShare = 0;
+    /// Part by which the stated run time may be off, either way.
+    double estimateError = 0.5;
+    /// Share of VMs that advice allows.
+    double allowedShare = 1;
+    /// What a job within its objective is worth.
+    double worth = 1;
+};
+
+/// How often things go wrong.
+struct ModelFaults {
+    /// Share of orders that are carried out without an answer, and of those carried out late.
+    double lostAnswers = 0;
+    double lateOrders = 0;
+    /// Mean seconds between crashes of a VM; it is back under its id soon, or never. Zero: none.
+    double secondsBetweenCrashes = 0;
+    double secondsBetweenCuts = 0;
+    double secondsBetweenOwners = 0;
+    double secondsBetweenOutages = 0;
+    double secondsBetweenDrains = 0;
+    /// Share of runs that fail, and of jobs that are cancelled.
+    double failedRuns = 0.02;
+    double cancelledJobs = 0;
+};
+
+struct ModelSettings {
+    std::uint64_t seed = 1;
+    std::uint32_t vms = 48;
+    Room vmCapacity { 64'000, 262'144, 0 };
+    std::uint32_t vmsPerRack = 8;
+    std::uint32_t failureDomains = 3;
+    std::uint32_t teams = 6;
+    /// Upper limit of each team as a share of the cell.
+    double teamLimit = 1;
+    Milliseconds networkDelay { 3 };
+    Milliseconds storeDelay { 8 };
+    Milliseconds vmLease { 8000 };
+    /// One VM in three is so much slower.
+    double slowFactor = 1.3;
+    /// Fleets differ in how long callers send; afterwards the model runs until all is done.
+    Seconds load { 30 };
+    Seconds longestTail { 120 };
+    std::vector<ModelQueue> queues;
+    ModelFaults faults;
+    /// Decisions and VM answers that name this text are printed; empty: none.
+    std::string trace;
+    /// Load of one team relative to the others'.
+    double hotTeamFactor = 1;
+};
+
+struct QueueResult {
+    std::uint64_t jobs = 0;
+    std::uint64_t inObjective = 0;
+    std::uint64_t late = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t cancelled = 0;
+    double worthOwed = 0;
+    double worthEarned = 0;
+    std::vector<double> waitMs;
+};
+
+struct ModelResult {
+    std::map<std::string, QueueResult> queues;
+    std::uint64_t starts = 0;
+    std::uint64_t commits = 0;
+    std::uint64_t adviceCalls = 0;
+    std::uint64_t wastedRuns = 0;
+    std::uint64_t unfinished = 0;
+    /// What must never happen, in words; empty when all held.
+    std::vector<std::string> broken;
+    /// Longest and mean time of one pass of the desk, in microseconds.
+    double longestPassUs = 0;
+    double meanPassUs = 0;
+};
+
+/// Plays one day.
+ModelResult playModel(const ModelSettings& settings);
+
+/// The deployments of today and the target of two years, calm.
+std::vector<std::string> modelDeployments();
+ModelSettings modelDeployment(const std::string& name);
+
+} // namespace heatherchute::cell
--- /dev/null
+++ b/tools/cell-model/Deployments.cpp
@@ -0,0 +1,91 @@
+#include "CellModel.h"
+
+namespace heatherchute::cell {
+
+static ModelQueue makeQueue(const std::string& name, int priority, std::uint32_t attempts, double stretch, Milliseconds target, const AdvicePolicy& advice)
+{
+    ModelQueue queue;
+    queue.policy.name = name;
+    queue.policy.service = "workers";
+    queue.policy.priority = priority;
+    queue.policy.maxAttempts = attempts;
+    queue.policy.stretch = stretch;
+    queue.policy.target = target;
+    queue.policy.advice = advice;
+    return queue;
+}
+
+/// Three classes of work as the workshop has them: few large gangs, many medium jobs, and a
+/// stream of short lookups that someone waits for.
+static ModelSettings workshop(double rate, std::uint32_t vms, double widthFactor)
+{
+    ModelSettings settings;
+    settings.vms = vms;
+    auto large = makeQueue("large", 1, 2, 2.2, Milliseconds(1000), { Milliseconds(390), 5.5, Milliseconds(1500) });
+    large.jobsPerSecond = 1.45 * rate;
+    large.steps = 1.2;
+    large.tasks = 8 * widthFactor;
+    large.runMs = 5000;
+    large.cpuMilli = 18'000;
+    large.memoryMb = 37'000;
+    large.gangShare = 1;
+    large.checkpointShare = 0.5;
+    large.allowedShare = 0.25;
+    large.maxTasks = 24;
+    large.worth = 12.8;
+    auto medium = makeQueue("medium", 2, 4, 4, Milliseconds(3000), { Milliseconds(62), 0.88, Milliseconds(1500) });
+    medium.jobsPerSecond = 4.35 * rate;
+    medium.steps = 1.5;
+    medium.tasks = 10 * widthFactor;
+    medium.runMs = 3400;
+    medium.cpuMilli = 3900;
+    medium.memoryMb = 8000;
+    medium.checkpointShare = 0.8;
+    medium.spreadShare = 0.12;
+    medium.allowedShare = 0.45;
+    medium.maxTasks = 20;
+    medium.worth = 2.67;
+    auto urgent = makeQueue("urgent", 0, 4, 1.5, Milliseconds(250), { Milliseconds(7), 0.1, Milliseconds(1500) });
+    urgent.jobsPerSecond = 38.6 * rate;
+    urgent.tasks = 2;
+    urgent.runMs = 800;
+    urgent.cpuMilli = 5600;
+    urgent.memoryMb = 16'000;
+    urgent.gangShare = 0.3;
+    urgent.estimateError = 0.9;
+    urgent.allowedShare = 0.7;
+    urgent.maxTasks = 12;
+    urgent.worth = 0.422;
+    settings.queues = { large, medium, urgent };
+    return settings;
+}
+
+std::vector<std::string> modelDeployments()
+{
+    return { "workshop", "workshop-burst", "workshop-hot-team", "target" };
+}
+
+ModelSettings modelDeployment(const std::string& name)
+{
+    if (name == "workshop-burst")
+        return workshop(1.6, 48, 1);
+    if (name == "workshop-hot-team") {
+        auto settings = workshop(1.8, 48, 1);
+        settings.hotTeamFactor = 8;
+        return settings;
+    }
+    if (name == "target") {
+        // 2,100 VMs, about 190 starts a second and 21,000 tasks at once: tasks of two minutes.
+        auto settings = workshop(1, 2100, 1);
+        settings.failureDomains = 13;
+        settings.teams = 200;
+        for (auto& queue : settings.queues)
+            queue.runMs *= 30;
+        settings.load = Seconds(60);
+        settings.longestTail = Seconds(1200);
+        return settings;
+    }
+    return workshop(1, 48, 1);
+}
+
+} // namespace heatherchute::cell
--- /dev/null
+++ b/tools/heatherchute-lab/main.cpp
@@ -0,0 +1,84 @@
+/// Experiments with the decisions of a cell's owner in virtual time: plays a deployment's load
+/// with faults and prints what callers got.
+#include "../cell-model/CellModel.h"
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <iomanip>
+#include <iostream>
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace heatherchute::cell;
+
+double quantile(std::vector<double> values, double part)
+{
+    if (values.empty())
+        return 0;
+    const auto index = static_cast<std::size_t>(part * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index), values.end());
+    return values[index];
+}
+
+void print(const std::string& name, std::uint64_t seed, const ModelResult& result)
+{
+    std::cout << name << ", seed " << seed << ": " << result.starts << " starts, " << result.commits << " commits, " << result.adviceCalls << " advice calls, "
+              << result.wastedRuns << " runs not done; pass mean " << std::fixed << std::setprecision(0) << result.meanPassUs << " us, longest " << result.longestPassUs << " us\n";
+    for (const auto& [queue, row] : result.queues) {
+        std::cout << "  " << std::left << std::setw(10) << queue << std::right << " jobs " << std::setw(6) << row.jobs << "  in objective " << std::setprecision(3)
+                  << (row.jobs ? static_cast<double>(row.inObjective) / static_cast<double>(row.jobs) : 0) << "  worth " << (row.worthOwed > 0 ? row.worthEarned / row.worthOwed : 0)
+                  << "  wait p50 " << std::setprecision(0) << quantile(row.waitMs, 0.5) << " ms, p99 " << quantile(row.waitMs, 0.99) << " ms\n";
+    }
+    for (const auto& text : result.broken)
+        std::cout << "  BROKEN " << text << '\n';
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    options::options_description description("heatherchute-lab: plays a deployment against the owner's decisions, in virtual time");
+    std::string deployment;
+    std::uint64_t seed = 0;
+    std::uint64_t seeds = 0;
+    auto add = description.add_options();
+    add("help", "shows this");
+    add("deployment", options::value(&deployment)->default_value("workshop"), "name of the deployment, or \"all\"");
+    add("seed", options::value(&seed)->default_value(1), "first seed");
+    add("seeds", options::value(&seeds)->default_value(1), "number of seeds");
+    std::string trace;
+    add("trace", options::value(&trace), "prints the decisions that name this text, such as a job's id");
+    add("faults", "crashes, cuts, new owners, outages, late orders and lost answers");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(argc, argv, description), values);
+        options::notify(values);
+    } catch (const options::error& error) {
+        std::cerr << "heatherchute-lab: " << error.what() << '\n';
+        return 2;
+    }
+    if (values.count("help")) {
+        std::cout << description;
+        return 0;
+    }
+    const auto known = modelDeployments();
+    if (deployment != "all" && std::find(known.begin(), known.end(), deployment) == known.end()) {
+        std::cerr << "heatherchute-lab: no deployment \"" << deployment << "\"\n";
+        return 2;
+    }
+    bool isSound = true;
+    for (const auto& name : deployment == "all" ? known : std::vector<std::string> { deployment }) {
+        for (std::uint64_t i = 0; i < seeds; ++i) {
+            auto settings = modelDeployment(name);
+            settings.seed = seed + i;
+            settings.trace = trace;
+            if (values.count("faults"))
+                settings.faults = { 0.02, 0.03, 4, 5, 8, 9, 12, 0.03, 0.05 };
+            const auto result = playModel(settings);
+            isSound = isSound && result.broken.empty();
+            print(name, settings.seed, result);
+        }
+    }
+    return isSound ? 0 : 1;
+}
