--- a/tools/cell-model/CellModel.cpp
+++ b/tools/cell-model/CellModel.cpp
@@ -599,8 +599,11 @@
     std::vector<TaskId> tasks;
     for (const auto& [task, run] : vm.running)
         tasks.push_back(task);
-    for (const auto& task : tasks)
-        endRun(vm, task, RunEnd::Lapsed);
+    for (const auto& task : tasks) {
+        // The end of one member of a gang ends the others with it.
+        if (vm.running.contains(task))
+            endRun(vm, task, RunEnd::Lapsed);
+    }
 }
 
 void World::crash(ModelVm& vm, bool isBack)
--- /dev/null
+++ b/unittests/Cell/CellModelTest.cpp
@@ -0,0 +1,79 @@
+#include "cell-model/CellModel.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace heatherchute;
+using namespace heatherchute::cell;
+
+/// All kinds of faults at once, each far more often than in production.
+static ModelFaults roughFaults()
+{
+    ModelFaults faults;
+    faults.lostAnswers = 0.02;
+    faults.lateOrders = 0.03;
+    faults.secondsBetweenCrashes = 4;
+    faults.secondsBetweenCuts = 5;
+    faults.secondsBetweenOwners = 8;
+    faults.secondsBetweenOutages = 9;
+    faults.secondsBetweenDrains = 12;
+    faults.failedRuns = 0.03;
+    faults.cancelledJobs = 0.05;
+    return faults;
+}
+
+static std::string wordsOf(const ModelResult& result)
+{
+    std::string words;
+    for (const auto& text : result.broken)
+        words += text + '\n';
+    return words;
+}
+
+TEST_CASE("A calm cell serves nearly all within the objective")
+{
+    for (const std::uint64_t seed : { 1, 2, 3 }) {
+        auto settings = modelDeployment("workshop");
+        settings.seed = seed;
+        const auto result = playModel(settings);
+        REQUIRE(wordsOf(result).empty());
+        const auto& urgent = result.queues.at("urgent");
+        CHECK(static_cast<double>(urgent.inObjective) > 0.9 * static_cast<double>(urgent.jobs));
+    }
+}
+
+TEST_CASE("Seeds that once broke a rule")
+{
+    // A heartbeat of the earlier life of a VM acknowledged ends of the new one.
+    for (const std::uint64_t seed : { 3, 8 }) {
+        auto settings = modelDeployment("workshop");
+        settings.faults = roughFaults();
+        settings.seed = seed;
+        REQUIRE(wordsOf(playModel(settings)).empty());
+    }
+}
+
+TEST_CASE("Nothing runs twice, too early, or over a limit, whatever fails")
+{
+    CHECK(rc::check("rough days", [](std::uint16_t seed) {
+        auto settings = modelDeployment(seed % 3 == 0 ? "workshop-hot-team" : "workshop");
+        settings.faults = roughFaults();
+        settings.seed = 1000 + seed;
+        settings.load = Seconds(12);
+        settings.teamLimit = seed % 2 == 0 ? 0.4 : 1.0;
+        const auto words = wordsOf(playModel(settings));
+        if (!words.empty())
+            RC_FAIL(words);
+    }));
+}
+
+TEST_CASE("A team that floods the cell does not take the others' turn")
+{
+    auto calm = modelDeployment("workshop");
+    auto hot = modelDeployment("workshop-hot-team");
+    const auto calmResult = playModel(calm);
+    const auto hotResult = playModel(hot);
+    REQUIRE(wordsOf(hotResult).empty());
+    const auto share = [](const QueueResult& row) { return static_cast<double>(row.inObjective) / static_cast<double>(row.jobs); };
+    CHECK(share(hotResult.queues.at("urgent")) > 0.7 * share(calmResult.queues.at("urgent")));
+}
