Serve what can still be in time before what is late

Ruled out: an order by class worth, which is not on the wire. Change: steps rank by what their job can still earn, then by priority and deadline; what a team hands in beyond its weight comes last.

--- a/lib/Cell/Placing.cpp
+++ b/lib/Cell/Placing.cpp
@@ -39,10 +39,19 @@
 
 namespace {
 
+    /// What a job can still earn; the order in which it is served.
+    enum class Prospect : std::uint8_t {
+        InTime,
+        /// Its objective has passed, and it earns a part.
+        Late,
+        /// It earns nothing any more, but must run.
+        Hopeless,
+    };
+
     /// A step that may have waiting tasks, with what ranks it.
     struct RankedStep {
-        bool isHopeless = false;
         bool isExcess = false;
+        Prospect prospect = Prospect::InTime;
         int priority = 0;
         TimePoint deadline;
         std::uint64_t sequence = 0;
@@ -50,7 +59,7 @@
         std::uint32_t step = 0;
         Job* job = nullptr;
 
-        auto rank() const { return std::tie(isHopeless, isExcess, priority, deadline, sequence, occurrence, step); }
+        auto rank() const { return std::tie(isExcess, prospect, priority, deadline, sequence, occurrence, step); }
     };
 
 } // namespace
@@ -69,10 +78,20 @@
     return spec.gang ? std::all_of(step.tasks.begin(), step.tasks.end(), isFree) : std::any_of(step.tasks.begin(), step.tasks.end(), isFree);
 }
 
-std::vector<CellDesk::ReadyStep> CellDesk::readySteps(Now now)
+static Prospect prospectOf(const Job& job, Milliseconds objective, Now now)
 {
     /// Past this many times its objective a job earns nothing.
     constexpr int lateFactor = 3;
+    // What is left of the chain is not tracked by step; half of it is a fair guess for started jobs.
+    const auto left = job.phase == JobPhase::Running ? job.chain / 2 : job.chain;
+    const auto done = now.steady + left - job.acceptedAt;
+    if (done <= objective)
+        return Prospect::InTime;
+    return done <= objective * lateFactor ? Prospect::Late : Prospect::Hopeless;
+}
+
+std::vector<CellDesk::ReadyStep> CellDesk::readySteps(Now now)
+{
     /// Steps looked at in a pass, the most urgent first.
     constexpr std::size_t maxSteps = 200;
     std::vector<RankedStep> ranked;
@@ -84,7 +103,7 @@
         for (const auto& [number, occurrence] : owner->occurrences) {
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
                 if (isOpen(*owner, occurrence, s, now))
-                    ranked.push_back({ now.steady > owner->acceptedAt + objective * lateFactor, owner->isExcess, queue ? queue->priority : 0, owner->acceptedAt + objective, owner->sequence, number, s, owner });
+                    ranked.push_back({ owner->isExcess, prospectOf(*owner, objective, now), queue ? queue->priority : 0, owner->acceptedAt + objective, owner->sequence, number, s, owner });
             }
         }
     }
@@ -95,7 +114,7 @@
     ready.reserve(count);
     for (const auto& entry : ranked) {
         auto& step = entry.job->occurrences.at(entry.occurrence).steps[entry.step];
-        ReadyStep row { entry.job, { entry.job->id, entry.occurrence, entry.step, 0 }, &step, &entry.job->spec->steps[entry.step], entry.job->policy, {}, entry.isHopeless, entry.deadline };
+        ReadyStep row { entry.job, { entry.job->id, entry.occurrence, entry.step, 0 }, &step, &entry.job->spec->steps[entry.step], entry.job->policy, {}, entry.prospect == Prospect::Hopeless, entry.deadline };
         for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
             if (step.tasks[i].phase == TaskPhase::Waiting && now.steady >= step.tasks[i].notBefore)
                 row.waiting.push_back(i);
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -75,7 +75,8 @@
 void NodeCore::watchPolicy()
 {
     m_ports.outbound->run([this] {
-        followPrefix(*m_ports.outbound, platform::operatorConfigurationKey, "policy", [] { return false; }, [this](const auto& items) {
+        followPrefix(
+            *m_ports.outbound, platform::operatorConfigurationKey, "policy", [] { return false; }, [this](const auto& items) {
                 const auto found = items.find(platform::operatorConfigurationKey);
                 if (found == items.end())
                     return;
@@ -101,7 +102,8 @@
 void NodeCore::watchOwner()
 {
     m_ports.outbound->run([this] {
-        followPrefix(*m_ports.outbound, ownerKey, "owner", [] { return false; }, [this](const auto& items) {
+        followPrefix(
+            *m_ports.outbound, ownerKey, "owner", [] { return false; }, [this](const auto& items) {
                 const auto found = items.find(ownerKey);
                 auto record = found == items.end() ? std::nullopt : parseRecord(found->second);
                 m_ports.outbound->report([this, record = std::move(record)] {
@@ -278,7 +280,8 @@
 void NodeCore::watchRegistry()
 {
     m_ports.outbound->run([this, over = m_tenureOver] {
-        followPrefix(*m_ports.outbound, platform::vmRegistryPrefix, "registry", [over] { return over->load(); }, [this, over](const auto& items) {
+        followPrefix(
+            *m_ports.outbound, platform::vmRegistryPrefix, "registry", [over] { return over->load(); }, [this, over](const auto& items) {
                 std::map<std::string, cell::VmReport> reports;
                 for (const auto& [key, item] : items) {
                     std::string reason;
--- a/lib/Runtime/Duty.cpp
+++ b/lib/Runtime/Duty.cpp
@@ -112,7 +112,8 @@
 
 void handleReloadSignals(Duty& duty, std::function<void()> onSignal)
 {
-    spawnSignalLoop(duty, [onSignal = std::move(onSignal)](int) { onSignal(); }, SIGHUP);
+    spawnSignalLoop(
+        duty, [onSignal = std::move(onSignal)](int) { onSignal(); }, SIGHUP);
 }
 
 } // namespace heatherchute
