--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -236,6 +236,8 @@
 
 struct Vm {
     VmReport report;
+    /// Of its id.
+    std::uint64_t hash = 0;
     bool listed = false;
     std::int64_t incarnation = 0;
     Room used;
@@ -357,6 +359,7 @@
     void taskLost(Job& job, const Placement& placement, const std::string& checkpoint, std::string_view why, Now now);
     /// The run is surely over and its room is free.
     void release(const TaskId& task);
+    void countUse(const Placement& placement, Vm& vm, int sign);
     void stopGang(Job& job, const TaskId& member, Now now);
     void stopAll(Job& job, Now now);
     void loseRun(const TaskId& task, std::string_view why, Now now);
@@ -379,6 +382,8 @@
     void wantPlacing() { m_placeWanted = true; }
     std::vector<ReadyStep> readySteps(Now now);
     void placeStep(const ReadyStep& ready, ServiceRoom& room, Now now);
+    /// Usable VMs with room for a task of the step, on which it may run now.
+    std::vector<Vm*> fittingVms(const ReadyStep& ready, const ServiceRoom& room, Now now);
     void holdForGang(const ReadyStep& ready, ServiceRoom& room, Now now);
     void askForAdvice(const ReadyStep& ready, ServiceRoom& room, Now now);
     std::map<std::string, ServiceRoom> measureRooms(const std::vector<ReadyStep>& steps, Now now);
@@ -403,6 +408,9 @@
     /// Placements that an order is to be sent for, now or later.
     std::set<TaskId> m_orderable;
     std::map<std::string, Room> m_teamUse;
+    /// Processor in use by tasks of the most urgent queues, by service.
+    std::map<std::string, std::int64_t> m_urgentUse;
+    TimePoint m_nextLook;
     /// Share of asked VMs that advice allows, by queue.
     std::map<std::string, double> m_adviceShare;
     std::map<std::string, Job*> m_active;
--- a/include/heatherchute/Election.h
+++ b/include/heatherchute/Election.h
@@ -71,6 +71,8 @@
     Milliseconds margin { 200 };
     /// Claims of several daemons are spread over this time.
     Milliseconds claimSpread { 120 };
+    /// Added for a daemon that had better not be the owner.
+    Milliseconds claimDelay { 0 };
 };
 
 class ElectionDesk {
--- a/include/heatherchute/Node.h
+++ b/include/heatherchute/Node.h
@@ -27,6 +27,8 @@
     /// How long a job that has ended must stay known.
     Seconds jobRetention { 120 };
     double spreadFactor = 2;
+    /// Part of a core that the daemon may use.
+    double processorShare = 1;
 };
 
 struct CheckedNodeSettings {
--- a/include/heatherchute/Runtime.h
+++ b/include/heatherchute/Runtime.h
@@ -68,6 +68,8 @@
     ~Duty();
 
     boost::asio::io_context& io() { return m_io; }
+    /// Processor time that the duty's thread has used; zero where the system does not tell.
+    Duration processorTime() const;
     /// Runs `body` as a new fiber on this duty. Call it from any thread.
     void spawn(std::function<void()> body);
     /// Ends the loop and joins the thread. Fibers still waiting are dropped with the process.
--- a/lib/Cell/Election.cpp
+++ b/lib/Cell/Election.cpp
@@ -25,7 +25,7 @@
         return;
     m_random = m_random * 6364136223846793005ULL + 1442695040888963407ULL;
     const auto spread = static_cast<std::uint64_t>(m_settings.claimSpread.count());
-    const Milliseconds delay(isOwnOld || spread == 0 ? 0 : (m_random >> 33U) % spread);
+    const auto delay = isOwnOld ? Milliseconds(0) : m_settings.claimDelay + Milliseconds(spread == 0 ? 0 : (m_random >> 33U) % spread);
     m_claimAt = std::max(now + delay, m_noClaimBefore);
 }
 
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -226,10 +226,15 @@
         const bool isOver = isFinal(job.phase) || job.nextOccurrence >= job.spec->occurrences;
         it = isOver ? m_scheduled.erase(it) : std::next(it);
     }
-    lapseSilent(now);
+    /// VMs are looked at this often; heartbeats are not more urgent.
+    constexpr Milliseconds lookPause { 4 };
     driveOrders(now);
     place(now);
-    beatVms(now);
+    if (now.steady >= m_nextLook) {
+        m_nextLook = now.steady + lookPause;
+        lapseSilent(now);
+        beatVms(now);
+    }
     forgetOldJobs(now);
     flush();
 }
--- a/lib/Cell/Placing.cpp
+++ b/lib/Cell/Placing.cpp
@@ -205,9 +205,7 @@
     auto& task = ready.step->tasks[index];
     task.phase = TaskPhase::Placed;
     task.run = run;
-    vm.used += placement.need;
-    vm.placements.insert(placement.task);
-    m_teamUse[placement.team] += placement.need;
+    countUse(placement, vm, 1);
     ++ready.job->placements;
     markDirty(ready.job->id);
     m_actions.emplace_back(Decision { "run_placed", { { "task", taskText(placement.task) }, { "run", run }, { "vm", vm.report.id }, { "queue", ready.job->queue }, { "waited_ms", std::chrono::duration_cast<Milliseconds>(now.steady - ready.job->acceptedAt).count() }, { "policy", m_policy->version } } });
@@ -231,26 +229,34 @@
     });
 }
 
-/// Whether a valid permission lets the step run on the VM now.
-static bool isPermitted(const StepAdvice& advice, const Vm& vm, Now now)
+std::vector<Vm*> CellDesk::fittingVms(const ReadyStep& ready, const ServiceRoom& room, Now now)
 {
-    const auto permission = advice.allowed.find(vm.report.id);
-    return permission != advice.allowed.end() && permission->second.incarnation == vm.incarnation && permission->second.validUntil > now.steady;
+    std::vector<Vm*> vms;
+    const auto consider = [&](Vm& vm) {
+        if (slotsOn(vm, ready) > 0 && mayRun(vm, ready) && !isHeldFromOthers(vm, ready, room))
+            vms.push_back(&vm);
+    };
+    if (!ready.queue || !ready.queue->advice) {
+        for (auto* const vm : room.usable)
+            consider(*vm);
+        return vms;
+    }
+    // Advice names few of the VMs, so only these are looked at.
+    for (const auto& [id, permission] : ready.step->advice.allowed) {
+        if (permission.validUntil <= now.steady)
+            continue;
+        const auto vm = m_vms.find(id);
+        if (vm != m_vms.end() && vm->second.incarnation == permission.incarnation && vm->second.report.service == ready.queue->service && mayUse(vm->second, now))
+            consider(vm->second);
+    }
+    return vms;
 }
 
 void CellDesk::placeStep(const ReadyStep& ready, ServiceRoom& room, Now now)
 {
     if (!ready.spec->usesIdleRoom && !ready.spec->need.fitsIn(room.largest))
         return;
-    const bool needsAdvice = ready.queue && ready.queue->advice;
-    if (needsAdvice && ready.step->advice.allowed.empty())
-        return;
-    std::vector<Vm*> vms;
-    for (auto* const vm : room.usable) {
-        const bool isFit = slotsOn(*vm, ready) > 0 && mayRun(*vm, ready) && !isHeldFromOthers(*vm, ready, room) && (!needsAdvice || isPermitted(ready.step->advice, *vm, now));
-        if (isFit)
-            vms.push_back(vm);
-    }
+    auto vms = fittingVms(ready, room, now);
     if (vms.empty())
         return;
     sortByFit(vms, *ready.spec);
@@ -333,12 +339,17 @@
     /// Urgent work never holds back more than this part of a service.
     constexpr double mostReserved = 0.3;
     std::map<std::string, ServiceRoom> rooms;
-    std::map<std::string, double> urgentUse;
     std::map<std::string, double> urgentDemand;
+    ServiceRoom* newest = nullptr;
+    const std::string* newestService = nullptr;
     for (auto& [id, vm] : m_vms) {
         if (!vm.listed)
             continue;
-        auto& room = rooms[vm.report.service];
+        if (!newestService || *newestService != vm.report.service) {
+            newest = &rooms[vm.report.service];
+            newestService = &vm.report.service;
+        }
+        auto& room = *newest;
         room.capacity += vm.report.capacity;
         if (!mayUse(vm, now))
             continue;
@@ -347,11 +358,6 @@
         room.usable.push_back(&vm);
         room.largest = { std::max(room.largest.cpuMilli, free.cpuMilli), std::max(room.largest.memoryMb, free.memoryMb), std::max(room.largest.accelerators, free.accelerators) };
     }
-    for (const auto& [task, placement] : m_placements) {
-        const auto vm = m_vms.find(placement.vm);
-        if (placement.priority == 0 && vm != m_vms.end())
-            urgentUse[vm->second.report.service] += static_cast<double>(placement.need.cpuMilli);
-    }
     for (const auto& ready : steps) {
         const bool isUrgent = ready.queue && ready.queue->priority == 0 && !ready.job->isExcess && !ready.isHopeless;
         if (isUrgent)
@@ -361,8 +367,9 @@
     m_peakAt = now.steady;
     for (auto& [service, room] : rooms) {
         auto& peak = m_urgentPeak[service];
-        peak = std::max(peak * decay, urgentUse[service] + urgentDemand[service]);
-        const auto reserved = std::min(peak - urgentUse[service], mostReserved * static_cast<double>(room.capacity.cpuMilli));
+        const auto used = static_cast<double>(m_urgentUse[service]);
+        peak = std::max(peak * decay, used + urgentDemand[service]);
+        const auto reserved = std::min(peak - used, mostReserved * static_cast<double>(room.capacity.cpuMilli));
         room.reservedCpuMilli = std::max<std::int64_t>(0, std::llround(reserved));
     }
     return rooms;
@@ -410,15 +417,22 @@
     // Tickets for a gang that does not fit now would lapse; those that teach something are asked for.
     if (vms.empty() || (ready.spec->gang && expected < needed && isAllAsked))
         return;
-    std::sort(vms.begin(), vms.end(), [&](const Vm* left, const Vm* right) {
-        const auto rank = [&](const Vm* vm) { return std::make_tuple(!isKnown(vm), -static_cast<std::int64_t>(std::min<std::size_t>(slotsOn(*vm, ready), ready.waiting.size())), stableHash(ready.id.job + vm->report.id)); };
-        return rank(left) < rank(right);
-    });
+    // Known VMs first, then those with more room; among equals a choice of each step's own.
+    using Rank = std::tuple<bool, std::int64_t, std::uint64_t>;
+    std::vector<std::pair<Rank, Vm*>> ranked;
+    ranked.reserve(vms.size());
+    const auto salt = stableHash(ready.id.job) + ready.id.step;
+    for (auto* const vm : vms) {
+        const auto slots = static_cast<std::int64_t>(std::min<std::size_t>(slotsOn(*vm, ready), ready.waiting.size()));
+        const auto mixed = (salt ^ vm->hash) * 0x9E3779B97F4A7C15ULL;
+        ranked.emplace_back(Rank { !isKnown(vm), -slots, mixed ^ (mixed >> 29U) }, vm);
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
     // Enough VMs that half as many again as are needed should be allowed.
     const auto wanted = 1.5 * needed + 1;
     AskAdvice ask { ready.id, {}, Milliseconds(0) };
     double named = 0;
-    for (const auto* const vm : vms) {
+    for (const auto& [rank, vm] : ranked) {
         if (named >= wanted || ask.vms.size() >= maxNamed)
             break;
         const auto slots = std::max<std::size_t>(1, std::min(slotsOn(*vm, ready), ready.waiting.size()));
@@ -469,7 +483,7 @@
     /// Without an event, for tickets that lapse and VMs that are trusted again.
     constexpr Milliseconds placeAnyway { 60 };
     /// Between two passes, so that a busy cell spends its time on orders too.
-    constexpr Milliseconds placePause { 8 };
+    constexpr Milliseconds placePause { 10 };
     if (!m_policy || now.steady < m_nextPlace || (!m_placeWanted && now.steady < m_nextPlace + placeAnyway))
         return;
     m_nextPlace = now.steady + placePause;
--- a/lib/Cell/Runs.cpp
+++ b/lib/Cell/Runs.cpp
@@ -7,17 +7,29 @@
     return job.occurrences.at(id.occurrence).steps.at(id.step).tasks.at(id.index);
 }
 
+void CellDesk::countUse(const Placement& placement, Vm& vm, int sign)
+{
+    auto& team = m_teamUse[placement.team];
+    if (sign > 0) {
+        vm.used += placement.need;
+        team += placement.need;
+        vm.placements.insert(placement.task);
+    } else {
+        vm.used -= placement.need;
+        team -= placement.need;
+        vm.placements.erase(placement.task);
+    }
+    if (placement.priority == 0)
+        m_urgentUse[vm.report.service] += sign * placement.need.cpuMilli;
+}
+
 void CellDesk::release(const TaskId& task)
 {
     const auto found = m_placements.find(task);
     if (found == m_placements.end())
         return;
     const auto& placement = found->second;
-    if (const auto vm = m_vms.find(placement.vm); vm != m_vms.end()) {
-        vm->second.used -= placement.need;
-        vm->second.placements.erase(task);
-    }
-    m_teamUse[placement.team] -= placement.need;
+    countUse(placement, m_vms.at(placement.vm), -1);
     if (auto* const owner = job(task.job))
         --owner->placements;
     m_orderable.erase(task);
--- a/lib/Cell/State.cpp
+++ b/lib/Cell/State.cpp
@@ -230,9 +230,9 @@
         vm.report.id = placement.vm;
         if (vm.leaseEnd < m_inheritedLeaseEnd)
             vm.leaseEnd = m_inheritedLeaseEnd;
-        vm.used += placement.need;
-        vm.placements.insert(placement.task);
-        m_teamUse[placement.team] += placement.need;
+        const auto* const queue = m_policy ? m_policy->findQueue(job.queue) : nullptr;
+        placement.priority = queue ? queue->priority : 1;
+        countUse(placement, vm, 1);
         placement.stopWanted = isFinal(job.phase);
         if (placement.stopWanted)
             m_orderable.insert(placement.task);
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -53,6 +53,7 @@
         if (isNewLife || vm.report.draining != report.draining)
             m_actions.emplace_back(Decision { "vm_reported", { { "vm", report.id }, { "incarnation", report.incarnation }, { "draining", report.draining }, { "service", report.service } } });
         vm.report = report;
+        vm.hash = stableHash(report.id);
         vm.listed = true;
         if (isNewLife) {
             vm.nextBeat = now.steady;
--- a/lib/Node/Actions.cpp
+++ b/lib/Node/Actions.cpp
@@ -10,67 +10,7 @@
         if (!m_desk)
             return;
     }
-}
-
-void NodeCore::run(const cell::StartRun& start)
-{
-    m_metrics.count("orders", "start");
-    platform::StartOrder order { start.address, start.vm, start.task, start.run, start.spec->payload, start.deadlineMs, m_election.fencingToken(), start.checkpoint, start.ticket };
-    m_ports.outbound->run([this, over = m_tenureOver, order = std::move(order)] {
-        if (over->load())
-            return;
-        const auto result = m_ports.outbound->vms().start(order);
-        m_ports.outbound->report([this, over, vm = order.vm, task = order.task, run = order.run, answer = result.answer] {
-            if (over->load() || !m_desk)
-                return;
-            m_metrics.count("starts", std::string(cell::startAnswerName(answer)));
-            if (const auto* const job = m_desk->findJob(task.job); job && answer == cell::StartAnswer::Started)
-                m_metrics.observe(Measure::Waiting, job->queue, job->team, Clock::now() - job->acceptedAt);
-            m_desk->onStart(vm, task, run, answer, now());
-            schedulePump();
-        });
-    });
-}
-
-void NodeCore::run(const cell::StopRun& stop)
-{
-    m_metrics.count("orders", "stop");
-    platform::StopOrder order { stop.address, stop.vm, stop.task, stop.run, m_election.fencingToken() };
-    m_ports.outbound->run([this, over = m_tenureOver, order = std::move(order)] {
-        if (over->load())
-            return;
-        const auto outcome = m_ports.outbound->vms().stop(order);
-        m_ports.outbound->report([this, over, order, outcome] {
-            if (over->load() || !m_desk)
-                return;
-            logEvent(LogLevel::Info, "stop_answered", { { "task", cell::taskText(order.task) }, { "run", order.run }, { "vm", order.vm }, { "outcome", platform::orderOutcomeName(outcome) } });
-            // Another life of the VM does not have the run, and takes no stop for it.
-            const bool isAnswered = outcome == platform::OrderOutcome::Done || outcome == platform::OrderOutcome::Refused || outcome == platform::OrderOutcome::WrongVm;
-            m_desk->onStop(order.vm, order.task, order.run, isAnswered, outcome == platform::OrderOutcome::Fenced, now());
-            schedulePump();
-        });
-    });
-}
-
-void NodeCore::run(const cell::BeatVm& beat)
-{
-    m_metrics.count("orders", "heartbeat");
-    platform::HeartbeatOrder order { beat.address, beat.vm, beat.deadlineMs, m_election.fencingToken(), beat.acknowledged, beat.wait };
-    m_ports.outbound->run([this, over = m_tenureOver, order = std::move(order)] {
-        if (over->load())
-            return;
-        cell::BeatAnswer answer { order.vm, Clock::now(), false, std::nullopt };
-        auto result = m_ports.outbound->vms().heartbeat(order);
-        answer.fenced = result.outcome == platform::OrderOutcome::Fenced;
-        if (result.outcome == platform::OrderOutcome::Done)
-            answer.state = std::move(result.state);
-        m_ports.outbound->report([this, over, answer = std::move(answer)] {
-            if (over->load() || !m_desk)
-                return;
-            m_desk->onBeat(answer, now());
-            schedulePump();
-        });
-    });
+    sendOrders();
 }
 
 void NodeCore::run(const cell::AskAdvice& ask)
--- a/lib/Node/Core.cpp
+++ b/lib/Node/Core.cpp
@@ -26,11 +26,53 @@
     return vmLease(settings) * slowClockPercent / 100 + clockSlack;
 }
 
+void NodeCore::logFigures()
+{
+    constexpr Seconds figuresEvery { 5 };
+    const auto time = Clock::now();
+    if (time < m_nextFigures)
+        return;
+    m_nextFigures = time + figuresEvery;
+    const auto milliseconds = [](const Duty& duty) { return std::chrono::duration_cast<Milliseconds>(duty.processorTime()).count(); };
+    Json fields { { "tenure", cell::tenureName(m_election.tenure()) }, { "calls", m_calls.size() }, { "peers", m_peers.size() }, { "policy", m_policy ? m_policy->version : 0 }, { "core_cpu_ms", milliseconds(m_duty) }, { "outside_cpu_ms", milliseconds(m_ports.outbound->duty()) }, { "peer_cpu_ms", milliseconds(m_ports.links->duty()) }, { "front_cpu_ms", milliseconds(m_ports.front->duty()) }, { "passes", m_passes }, { "pass_ms", std::chrono::duration_cast<Milliseconds>(m_passTime).count() } };
+    if (m_desk) {
+        const auto figures = m_desk->figures();
+        fields.update({ { "jobs", figures.jobs }, { "waiting_tasks", figures.waitingTasks }, { "placements", figures.placements }, { "vms", figures.vms }, { "reachable_vms", figures.reachableVms }, { "orders", m_orders.size() } });
+    }
+    logEvent(LogLevel::Info, "figures", std::move(fields));
+}
+
+void NodeCore::yieldToStronger()
+{
+    /// An owner must be this many times weaker than another daemon to hand the cell over to it.
+    constexpr double clearlyStronger = 2;
+    /// Long enough that all daemons have met the owner, short enough that little is queued.
+    constexpr Milliseconds settleTime { 700 };
+    constexpr Milliseconds yieldTime { 2500 };
+    const auto time = Clock::now();
+    if (!m_desk || m_isStopping || time - m_ownedSince < settleTime || time < m_nextYield)
+        return;
+    m_nextYield = time + settleTime;
+    for (const auto& [link, peer] : m_peers) {
+        if (!peer.isOpen || peer.hello.processorShare < clearlyStronger * m_settings.processorShare)
+            continue;
+        m_nextYield = time + 4 * yieldTime;
+        m_election.stepDown("daemon " + peer.hello.daemon + " is stronger", time, time + yieldTime);
+        schedulePump();
+        return;
+    }
+}
+
 static cell::ElectionSettings electionSettings(const NodeSettings& settings)
 {
     cell::ElectionSettings election;
     election.daemon = settings.name;
     election.lease = electionLease(settings);
+    // The owner's work grows with the fleet, so the stronger daemons claim first.
+    constexpr double strongShare = 0.25;
+    constexpr Milliseconds weakDelay { 250 };
+    if (settings.processorShare < strongShare)
+        election.claimDelay = weakDelay;
     return election;
 }
 
@@ -82,9 +124,13 @@
     runElection();
     if (m_desk) {
         m_desk->setTenured(m_election.tenure() == cell::Tenure::Owner);
+        const auto began = Clock::now();
         m_desk->advance(now());
+        m_passTime += Clock::now() - began;
+        ++m_passes;
         runDesk();
     }
+    sendResults();
     dispatchCalls();
 }
 
@@ -93,7 +139,10 @@
     m_election.tick(Clock::now());
     expireCalls();
     expireAdvice();
+    expireOrders();
     keepLinks();
+    yieldToStronger();
+    logFigures();
     pump();
     updateReadiness();
     if (m_isStopping)
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -81,12 +81,26 @@
         TimePoint deadline;
     };
 
+    struct PendingOrder {
+        VmOrderKind kind = VmOrderKind::Heartbeat;
+        std::string vm;
+        cell::TaskId task;
+        std::uint32_t run = 0;
+        LinkId link = 0;
+        TimePoint sentAt;
+        TimePoint deadline;
+    };
+
     // Core.cpp
     void tick();
     void pump();
     void schedulePump();
     cell::Now now() const;
     void updateReadiness();
+    /// Writes a line with the daemon's load now and then.
+    void logFigures();
+    /// Hands the cell over when a much stronger daemon is there.
+    void yieldToStronger();
     void continueStop();
     void adoptPolicy(std::string text, cell::CellPolicyPointer policy, std::string_view source);
 
@@ -109,6 +123,8 @@
     void handle(LinkId link, const OwnerAnswer& answer);
     void handle(LinkId link, const AdviceOrder& order);
     void handle(LinkId link, const AdviceReport& report);
+    void handle(LinkId link, const VmOrders& orders);
+    void handle(LinkId link, const VmResults& results);
     /// Open link to the daemon that owns the cell; zero when there is none.
     LinkId ownerLink() const;
 
@@ -135,6 +151,16 @@
     void run(const cell::AnswerCall& answer);
     void run(const cell::Decision& decision);
     void run(const cell::LostOwnership& lost);
+    void sendOrders();
+    // Orders.cpp
+    /// Open link to the daemon that calls this VM for the owner; zero: this daemon does.
+    LinkId delegateFor(const std::string& vm) const;
+    void dispatchOrder(VmOrder order, const cell::TaskId& task, Milliseconds timeout);
+    void carryOut(VmOrder order, std::uint64_t fencingToken, std::shared_ptr<std::atomic<bool>> over, std::function<void(VmResult)> onResult);
+    void sendResults();
+    void onVmResult(const VmResult& result);
+    void expireOrders();
+
     void askHere(std::uint64_t id, const std::string& step, const std::vector<std::string>& vms, Milliseconds timeout, LinkId replyTo);
     void onAdvice(const AdviceReport& report);
     void expireAdvice();
@@ -172,8 +198,18 @@
     cell::CallId m_nextDeskCall = 1;
     std::map<std::uint64_t, PendingAdvice> m_advice;
     std::uint64_t m_nextAdvice = 1;
+    std::map<std::uint64_t, PendingOrder> m_orders;
+    std::uint64_t m_nextOrder = 1;
+    /// Collected during a pass, one message a link.
+    std::map<LinkId, VmOrders> m_delegated;
+    std::map<LinkId, VmResults> m_delegateResults;
+    TimePoint m_ownedSince;
+    TimePoint m_nextYield;
     TimePoint m_ownAdviceUntil;
     TimePoint m_nextFigures;
+    /// Passes of the desk and the time that they took.
+    std::uint64_t m_passes = 0;
+    Duration m_passTime { 0 };
 };
 
 } // namespace heatherchute
--- a/lib/Node/Duties.h
+++ b/lib/Node/Duties.h
@@ -31,6 +31,7 @@
     void report(Closure closure);
     void sleep(Milliseconds time);
 
+    const Duty& duty() const { return m_duty; }
     platform::StoreClient& store() { return m_store; }
     platform::VmClient& vms() { return m_vms; }
     HttpClient& http() { return m_http; }
@@ -67,6 +68,7 @@
     void dial(const Address& address);
     void send(LinkId link, const PeerMessage& message);
     void drop(LinkId link);
+    const Duty& duty() const { return m_duty; }
 
 private:
     void tell(Closure closure, LinkId link);
--- a/lib/Node/Messages.h
+++ b/lib/Node/Messages.h
@@ -3,6 +3,7 @@
 
 #include "heatherchute/Support.h"
 #include "heatherchute/Work.h"
+#include "platform/Adapter.h"
 
 namespace heatherchute {
 
@@ -17,8 +18,10 @@
     /// Where the sender takes links.
     std::string peerAddress;
     std::uint64_t fencingToken = 0;
+    /// Part of a core that the daemon may use.
+    double processorShare = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PeerHello, daemon, failureDomain, incarnation, policyVersion, ownsCell, peerAddress, fencingToken)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PeerHello, daemon, failureDomain, incarnation, policyVersion, ownsCell, peerAddress, fencingToken, processorShare)
 
 /// The operator's document, for a daemon that cannot read it from the store.
 struct PeerPolicy {
@@ -73,7 +76,54 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AdviceReport, id, answered, allowed, validityMs)
 
-using PeerMessage = std::variant<PeerHello, PeerPolicy, OwnerCall, OwnerAnswer, AdviceOrder, AdviceReport>;
+enum class VmOrderKind : std::uint8_t {
+    Start,
+    Stop,
+    Heartbeat,
+};
+
+/// One order to a VM that the owner has another daemon carry out, one near the VM. The fields
+/// that a kind has no use for stay at their defaults.
+struct VmOrder {
+    std::uint64_t id = 0;
+    VmOrderKind kind = VmOrderKind::Heartbeat;
+    std::string vm;
+    std::string address;
+    std::string task;
+    std::uint32_t run = 0;
+    std::string payload;
+    std::int64_t deadlineMs = 0;
+    std::string checkpoint;
+    std::string ticket;
+    std::uint64_t acknowledged = 0;
+    std::uint64_t waitMs = 0;
+};
+void to_json(Json& json, const VmOrder& order);
+void from_json(const Json& json, VmOrder& order);
+
+struct VmOrders {
+    std::uint64_t fencingToken = 0;
+    std::vector<VmOrder> orders;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmOrders, fencingToken, orders)
+
+/// What became of a VmOrder.
+struct VmResult {
+    std::uint64_t id = 0;
+    platform::OrderOutcome outcome = platform::OrderOutcome::Unknown;
+    cell::StartAnswer answer = cell::StartAnswer::Unknown;
+    /// Set for a heartbeat that was answered.
+    std::optional<cell::VmState> state;
+};
+void to_json(Json& json, const VmResult& result);
+void from_json(const Json& json, VmResult& result);
+
+struct VmResults {
+    std::vector<VmResult> results;
+};
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmResults, results)
+
+using PeerMessage = std::variant<PeerHello, PeerPolicy, OwnerCall, OwnerAnswer, AdviceOrder, AdviceReport, VmOrders, VmResults>;
 
 std::string encodePeerMessage(const PeerMessage& message);
 Result<PeerMessage> decodePeerMessage(const std::string& bytes);
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -194,6 +194,8 @@
     m_desk.reset();
     m_ports.outbound->run([this] { m_ports.outbound->forgetVms(); });
     m_advice.clear();
+    m_orders.clear();
+    m_delegated.clear();
     for (const auto& [call, origin] : std::exchange(m_origins, {})) {
         OwnerAnswer answer;
         answer.notOwner = true;
@@ -258,6 +260,7 @@
                 if (m_isRegistryKnown)
                     applyRegistry();
                 logEvent(LogLevel::Info, "cell_loaded", { { "jobs", jobs.size() }, { "took_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - began).count() } });
+                m_ownedSince = Clock::now();
                 for (auto& [link, peer] : m_peers) {
                     if (peer.isOpen)
                         sendHello(link, peer);
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -21,7 +21,7 @@
 void NodeCore::sendHello(LinkId link, Peer& peer)
 {
     peer.lastHello = Clock::now();
-    m_ports.links->send(link, PeerHello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_desk != nullptr, addressText(m_settings.listenPeers), m_desk ? m_election.fencingToken() : 0 });
+    m_ports.links->send(link, PeerHello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_desk != nullptr, addressText(m_settings.listenPeers), m_desk ? m_election.fencingToken() : 0, m_settings.processorShare });
 }
 
 void NodeCore::keepLinks()
@@ -83,6 +83,11 @@
     // What the owner was asked is asked again, over the next link.
     if (wasOwner)
         withdrawCalls();
+    for (auto& [id, order] : m_orders) {
+        if (order.link == link)
+            order.deadline = TimePoint();
+    }
+    m_delegateResults.erase(link);
     for (auto& [id, advice] : m_advice) {
         if (advice.link == link)
             advice.deadline = TimePoint();
--- a/lib/Node/Settings.cpp
+++ b/lib/Node/Settings.cpp
@@ -41,6 +41,7 @@
     settings.grace = Milliseconds(static_cast<std::int64_t>(reader.numberOr("grace_s", 0.1, 600, 6) * 1000));
     settings.jobRetention = Seconds(reader.integerOr("job_retention_s", 1, 86'400, 120));
     settings.spreadFactor = reader.numberOr("spread_factor", 1, 100, 2);
+    settings.processorShare = reader.numberOr("processor_share", 0.001, 1024, 1);
     return checked;
 }
 
--- a/lib/Runtime/Duty.cpp
+++ b/lib/Runtime/Duty.cpp
@@ -69,6 +69,14 @@
     wait.get();
 }
 
+Duration Duty::processorTime() const
+{
+    clockid_t clock {};
+    timespec time {};
+    const bool isKnown = m_thread.joinable() && pthread_getcpuclockid(const_cast<std::thread&>(m_thread).native_handle(), &clock) == 0 && clock_gettime(clock, &time) == 0;
+    return isKnown ? Seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec) : Duration(0);
+}
+
 void Duty::spawn(std::function<void()> body)
 {
     boost::asio::post(m_io, [body = std::move(body)]() mutable {
--- a/tools/cell-model/Deployments.cpp
+++ b/tools/cell-model/Deployments.cpp
@@ -62,7 +62,7 @@
 
 std::vector<std::string> modelDeployments()
 {
-    return { "workshop", "workshop-burst", "workshop-hot-team", "target" };
+    return { "workshop", "workshop-burst", "workshop-hot-team", "grown", "target" };
 }
 
 ModelSettings modelDeployment(const std::string& name)
@@ -74,6 +74,19 @@
         settings.hotTeamFactor = 8;
         return settings;
     }
+    if (name == "grown") {
+        // Seven times the VMs, three times the jobs, each of them wider and heavier.
+        auto settings = workshop(2.6, 350, 2.5);
+        settings.teams = 20;
+        settings.queues[0].jobsPerSecond = 4.33;
+        settings.queues[1].jobsPerSecond = 7.17;
+        settings.queues[1].cpuMilli = 6900;
+        settings.queues[2].jobsPerSecond = 100;
+        settings.queues[2].tasks = 3;
+        settings.queues[2].cpuMilli = 9900;
+        settings.load = Seconds(20);
+        return settings;
+    }
     if (name == "target") {
         // 2,100 VMs, about 190 starts a second and 21,000 tasks at once: tasks of two minutes.
         auto settings = workshop(1, 2100, 1);
