Replace a killed owner at once; step down where most VMs are out of reach; refuse hopeless excess

Cause: an owner's death cost the whole lease of its record although its closed connections told of it; an owner inside a cut failure domain held on to a cell whose VMs it could not call; a flooding team's jobs were accepted that could only end worthless. Ruled out: a shorter lease alone (under 1 s the store refuses it, and a slow store ends it). Change: a closed link to the owner that is not mended in 250 ms leads to a claim on the present record, at most every 10 s for each daemon; an owner that reaches under half of the VMs for 1.2 s releases the cell and those that still hear it claim later; what a team hands in beyond its weight is refused at once, with the time to come back, when the open work exceeds three times its objective. Tests: election cases for suspicion, trust and abstention.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -93,6 +93,8 @@
 struct AnswerCall {
     CallId call = 0;
     ErrorKind error = ErrorKind::None;
+    /// When a refused caller should come back; zero: as the error says.
+    Seconds retryAfter { 0 };
 };
 
 /// A line for the log.
@@ -192,6 +194,8 @@
     Milliseconds chain { 0 };
     /// It came on top of the rate that the team's weight grants.
     bool isExcess = false;
+    /// Work that was handed in with it, in core-milliseconds by its estimates.
+    double workCpuMs = 0;
     /// Order in which jobs came to this desk.
     std::uint64_t sequence = 0;
     /// Policy of its queue, as of `policyOf`; none when the queue is gone.
@@ -318,6 +322,8 @@
         std::size_t reachableVms = 0;
     };
     Figures figures() const;
+    /// VMs in the registry, and those of them that answer.
+    std::pair<std::size_t, std::size_t> reach() const;
     const std::map<std::string, Vm>& vms() const { return m_vms; }
     const std::map<TaskId, Placement>& placements() const { return m_placements; }
     const Job* findJob(const std::string& id) const;
@@ -388,6 +394,8 @@
     void askForAdvice(const ReadyStep& ready, ServiceRoom& room, Now now);
     std::map<std::string, ServiceRoom> measureRooms(const std::vector<ReadyStep>& steps, Now now);
     bool takesExcess(const std::string& team, Now now);
+    /// How long the work that is open would take the whole cell.
+    Milliseconds backlog() const;
     const QueuePolicy* policyOf(Job& job) const;
     bool mayRun(const Vm& vm, const ReadyStep& ready) const;
     std::size_t slotsIn(const Room& room, const Vm& vm, const ReadyStep& ready) const;
@@ -425,6 +433,9 @@
     std::set<std::string> m_dirty;
     std::set<std::string> m_forgotten;
     std::map<std::string, TeamRate> m_teamRates;
+    /// Work of the jobs that are not over, in core-milliseconds, and the processor of all VMs in use.
+    double m_openCpuMs = 0;
+    std::int64_t m_capacityCpuMilli = 0;
     /// Highest recent demand of the most urgent queues of a service, in thousandths of a core.
     std::map<std::string, double> m_urgentPeak;
     TimePoint m_peakAt;
--- a/include/heatherchute/Election.h
+++ b/include/heatherchute/Election.h
@@ -33,6 +33,8 @@
 struct ClaimCell {
     std::uint64_t expected = 0;
     std::string nonce;
+    /// Lease of the record that is replaced, to be ended after the claim was won; zero: none.
+    std::uint64_t replacedLease = 0;
 };
 struct RenewClaim {
     std::uint64_t lease = 0;
@@ -69,6 +71,11 @@
     Milliseconds renewEvery { 300 };
     /// Taken off the lease on our side, for the call's way and the timers' lateness.
     Milliseconds margin { 200 };
+    /// How long an owner whose process seems to have ended has to show itself.
+    Milliseconds suspicion { 250 };
+    /// Between two claims on suspicion, so that a daemon which alone is cut from the owner does
+    /// not take the cell again and again.
+    Milliseconds suspicionPause { 10'000 };
     /// Claims of several daemons are spread over this time.
     Milliseconds claimSpread { 120 };
     /// Added for a daemon that had better not be the owner.
@@ -84,10 +91,16 @@
     /// `sentAt`: when the lease was asked for.
     void onClaim(const std::string& nonce, ClaimOutcome outcome, std::uint64_t lease, std::uint64_t revision, TimePoint sentAt, TimePoint now);
     void onRenewal(std::uint64_t lease, RenewalOutcome outcome, TimePoint sentAt, TimePoint now);
+    /// The connection to the owner was closed, as when its process ends.
+    void suspectOwner(TimePoint now);
+    /// The owner has answered after all.
+    void trustOwner();
     /// Something else proved that another daemon owns the cell.
     void depose(const std::string& why, TimePoint now);
     /// Gives the ownership up and claims no more until `until`.
     void stepDown(const std::string& why, TimePoint now, TimePoint until);
+    /// Claims nothing until `until`, unless it owns the cell already.
+    void abstain(TimePoint until);
     void tick(TimePoint now);
 
     Tenure tenure() const { return m_tenure; }
@@ -106,6 +119,10 @@
     Tenure m_tenure = Tenure::Follower;
     std::optional<OwnerRecord> m_record;
     bool m_isRecordKnown = false;
+    bool m_isSuspecting = false;
+    /// Revision of the suspected owner's record.
+    std::uint64_t m_suspected = 0;
+    TimePoint m_nextSuspicion;
     std::optional<TimePoint> m_claimAt;
     TimePoint m_noClaimBefore;
     std::string m_nonce;
--- a/include/heatherchute/Work.h
+++ b/include/heatherchute/Work.h
@@ -78,6 +78,9 @@
 /// Estimated run time of the longest chain of steps that wait for each other.
 Milliseconds chainOf(const JobSpec& spec);
 
+/// Work of all tasks by the estimates, in core-milliseconds; long-running tasks count none.
+double workOf(const JobSpec& spec);
+
 /// Cost of asking the queue's policy which VMs may run a step.
 struct AdvicePolicy {
     Milliseconds base { 0 };
--- a/lib/Cell/Election.cpp
+++ b/lib/Cell/Election.cpp
@@ -45,10 +45,13 @@
     if (m_tenure != Tenure::Follower)
         return;
     const bool isOwnOld = record && record->daemon == m_settings.daemon;
-    if (!record || isOwnOld)
+    if (!record || isOwnOld) {
+        m_isSuspecting = false;
         scheduleClaim(now, isOwnOld);
-    else
+    } else if (!m_isSuspecting || record->revision != m_suspected) {
+        m_isSuspecting = false;
         m_claimAt.reset();
+    }
 }
 
 void ElectionDesk::onClaim(const std::string& nonce, ClaimOutcome outcome, std::uint64_t lease, std::uint64_t revision, TimePoint sentAt, TimePoint now)
@@ -103,17 +106,41 @@
         scheduleClaim(now, false);
 }
 
+void ElectionDesk::suspectOwner(TimePoint now)
+{
+    const bool isOthers = m_tenure == Tenure::Follower && m_record && m_record->daemon != m_settings.daemon;
+    if (!isOthers || m_isSuspecting || now < m_nextSuspicion)
+        return;
+    m_isSuspecting = true;
+    m_suspected = m_record->revision;
+    m_claimAt.reset();
+    scheduleClaim(now + m_settings.suspicion, false);
+}
+
+void ElectionDesk::trustOwner()
+{
+    if (!m_isSuspecting)
+        return;
+    m_isSuspecting = false;
+    m_claimAt.reset();
+}
+
 void ElectionDesk::depose(const std::string& why, TimePoint now)
 {
     if (isOwner())
         end(why, now);
 }
 
-void ElectionDesk::stepDown(const std::string& why, TimePoint now, TimePoint until)
+void ElectionDesk::abstain(TimePoint until)
 {
     m_noClaimBefore = std::max(m_noClaimBefore, until);
     if (m_claimAt)
         m_claimAt = std::max(*m_claimAt, until);
+}
+
+void ElectionDesk::stepDown(const std::string& why, TimePoint now, TimePoint until)
+{
+    abstain(until);
     if (!isOwner())
         return;
     m_actions.emplace_back(ReleaseClaim { m_lease });
@@ -140,7 +167,10 @@
     m_claimAt.reset();
     m_tenure = Tenure::Claiming;
     m_nonce = randomToken(8);
-    m_actions.emplace_back(ClaimCell { m_record ? m_record->revision : 0, m_nonce });
+    m_actions.emplace_back(ClaimCell { m_record ? m_record->revision : 0, m_nonce, m_record ? m_record->lease : 0 });
+    if (m_isSuspecting)
+        m_nextSuspicion = now + m_settings.suspicionPause;
+    m_isSuspecting = false;
 }
 
 } // namespace heatherchute::cell
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -55,6 +55,17 @@
     job.acceptedAt = now.steady;
     job.chain = chainOf(*job.spec);
     job.isExcess = takesExcess(team, now);
+    job.workCpuMs = workOf(*job.spec);
+    /// Past this many times its objective a job earns nothing, so a caller had better come back.
+    constexpr int lateFactor = 3;
+    const auto objective = policy->target + std::chrono::duration_cast<Milliseconds>(job.chain * policy->stretch);
+    if (job.isExcess && backlog() > objective * lateFactor) {
+        const auto wait = std::chrono::ceil<Seconds>(backlog() - objective);
+        m_actions.emplace_back(Decision { "submission_refused", { { "job", id }, { "queue", queue }, { "team", team }, { "why", "beyond_rate" }, { "backlog_ms", backlog().count() }, { "objective_ms", objective.count() } } });
+        m_actions.emplace_back(AnswerCall { call, ErrorKind::OverLimit, std::min(wait, Seconds(10)) });
+        return;
+    }
+    m_openCpuMs += job.workCpuMs;
     auto& added = m_jobs.emplace(id, std::move(job)).first->second;
     added.sequence = m_nextSequence++;
     m_active.emplace(id, &added);
@@ -117,6 +128,23 @@
     return count;
 }
 
+Milliseconds CellDesk::backlog() const
+{
+    if (m_capacityCpuMilli == 0)
+        return Milliseconds(0);
+    return Milliseconds(static_cast<std::int64_t>(m_openCpuMs * 1000 / static_cast<double>(m_capacityCpuMilli)));
+}
+
+std::pair<std::size_t, std::size_t> CellDesk::reach() const
+{
+    std::pair<std::size_t, std::size_t> result { 0, 0 };
+    for (const auto& [id, vm] : m_vms) {
+        result.first += vm.listed ? 1 : 0;
+        result.second += vm.listed && vm.fenced && vm.misses == 0 ? 1 : 0;
+    }
+    return result;
+}
+
 std::uint32_t CellDesk::maxAttempts(const Job& job) const
 {
     const auto* const queue = m_policy ? m_policy->findQueue(job.queue) : nullptr;
@@ -144,6 +172,7 @@
 {
     job.phase = phase;
     job.endedAt = now.steady;
+    m_openCpuMs -= job.workCpuMs;
     wantPlacing();
     markDirty(job.id);
     why["job"] = job.id;
--- a/lib/Cell/State.cpp
+++ b/lib/Cell/State.cpp
@@ -221,6 +221,9 @@
     job.acceptedAt = now.steady - Milliseconds(std::clamp<std::int64_t>(now.unixMs - job.acceptedUnixMs, 0, 600'000));
     job.endedAt = now.steady;
     job.chain = chainOf(*job.spec);
+    job.workCpuMs = workOf(*job.spec);
+    if (!isFinal(job.phase))
+        m_openCpuMs += job.workCpuMs;
     if (job.nextOccurrence < job.spec->occurrences)
         m_scheduled.insert(job.id);
     job.placements = static_cast<std::uint32_t>(placed.size());
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -63,6 +63,9 @@
         if (vm.leaseEnd < m_inheritedLeaseEnd)
             vm.leaseEnd = m_inheritedLeaseEnd;
     }
+    m_capacityCpuMilli = 0;
+    for (const auto& [id, vm] : m_vms)
+        m_capacityCpuMilli += vm.listed ? vm.report.capacity.cpuMilli : 0;
     std::erase_if(m_vms, [](const auto& entry) { return !entry.second.listed && entry.second.placements.empty() && !entry.second.beatInFlight; });
 }
 
--- a/lib/Node/Actions.cpp
+++ b/lib/Node/Actions.cpp
@@ -103,6 +103,7 @@
     m_origins.erase(found);
     OwnerAnswer answer;
     answer.error = answered.error;
+    answer.retryAfter = static_cast<std::uint64_t>(answered.retryAfter.count());
     replyTo(origin, answer);
 }
 
--- a/lib/Node/Calls.cpp
+++ b/lib/Node/Calls.cpp
@@ -137,8 +137,14 @@
     const bool isUnknownJob = answer.error == ErrorKind::NotFound && call.kind != OwnerCallKind::CountPending;
     if (isUnknownJob)
         return platform::unknownJobAnswer();
-    if (answer.error != ErrorKind::None)
-        return errorResponse(answer.error);
+    if (answer.error != ErrorKind::None) {
+        auto response = errorResponse(answer.error);
+        for (auto& header : response.headers) {
+            if (header.name == "Retry-After" && answer.retryAfter > 0)
+                header.value = std::to_string(answer.retryAfter);
+        }
+        return response;
+    }
     switch (call.kind) {
     case OwnerCallKind::Submit:
         return platform::acceptedAnswer();
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -125,6 +125,9 @@
     void handle(LinkId link, const AdviceReport& report);
     void handle(LinkId link, const VmOrders& orders);
     void handle(LinkId link, const VmResults& results);
+    void handle(LinkId link, const OwnerYields& yields);
+    /// Gives the cell up when most VMs do not answer this daemon.
+    void keepReach(TimePoint time);
     /// Open link to the daemon that owns the cell; zero when there is none.
     LinkId ownerLink() const;
 
@@ -205,6 +208,7 @@
     std::map<LinkId, VmResults> m_delegateResults;
     TimePoint m_ownedSince;
     TimePoint m_nextYield;
+    TimePoint m_reachedMostAt;
     TimePoint m_ownAdviceUntil;
     TimePoint m_nextFigures;
     /// Passes of the desk and the time that they took.
--- a/lib/Node/Messages.h
+++ b/lib/Node/Messages.h
@@ -56,8 +56,10 @@
     std::uint64_t pending = 0;
     /// The daemon asked does not own the cell: ask its owner.
     bool notOwner = false;
+    /// When a refused caller should come back, in seconds; zero: as the error says.
+    std::uint64_t retryAfter = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OwnerAnswer, id, error, phase, pending, notOwner)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(OwnerAnswer, id, error, phase, pending, notOwner, retryAfter)
 
 /// The owner has another daemon ask for advice, because the service serves each one by turns.
 struct AdviceOrder {
@@ -123,7 +125,12 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmResults, results)
 
-using PeerMessage = std::variant<PeerHello, PeerPolicy, OwnerCall, OwnerAnswer, AdviceOrder, AdviceReport, VmOrders, VmResults>;
+/// The owner gives the cell up because it reaches too few VMs; who hears it shares its view.
+struct OwnerYields { };
+inline void to_json(Json& json, const OwnerYields&) { json = Json::object(); }
+inline void from_json(const Json&, OwnerYields&) { }
+
+using PeerMessage = std::variant<PeerHello, PeerPolicy, OwnerCall, OwnerAnswer, AdviceOrder, AdviceReport, VmOrders, VmResults, OwnerYields>;
 
 std::string encodePeerMessage(const PeerMessage& message);
 Result<PeerMessage> decodePeerMessage(const std::string& bytes);
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -140,6 +140,11 @@
                 outcome = cell::ClaimOutcome::Won;
             else if (result.outcome == platform::TransactionOutcome::Refused)
                 outcome = cell::ClaimOutcome::Lost;
+            // Leases of records that nobody stands behind any more are not left to run out.
+            const auto ended = outcome == cell::ClaimOutcome::Won ? claim.replacedLease : outcome == cell::ClaimOutcome::Lost ? record.lease
+                                                                                                                              : 0;
+            if (ended != 0)
+                m_ports.outbound->run([this, ended] { m_ports.outbound->store().endLease(ended); });
         }
         m_ports.outbound->report([this, nonce = record.nonce, outcome, lease = record.lease, revision, sentAt] {
             logEvent(LogLevel::Info, "claim_ended", { { "won", outcome == cell::ClaimOutcome::Won }, { "known", outcome != cell::ClaimOutcome::Unknown }, { "revision", revision } });
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -24,6 +24,39 @@
     m_ports.links->send(link, PeerHello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_desk != nullptr, addressText(m_settings.listenPeers), m_desk ? m_election.fencingToken() : 0, m_settings.processorShare });
 }
 
+void NodeCore::keepReach(TimePoint time)
+{
+    /// An owner that cannot call most of the VMs for so long lets a daemon try that may reach them.
+    constexpr Milliseconds patience { 1200 };
+    /// Longer than most cuts last, so that the cell does not come back too early.
+    constexpr Milliseconds abstention { 6000 };
+    constexpr std::size_t fewVms = 4;
+    if (!m_desk || m_election.tenure() != cell::Tenure::Owner) {
+        m_reachedMostAt = time;
+        return;
+    }
+    const auto [listed, reached] = m_desk->reach();
+    if (listed < fewVms || reached * 2 >= listed)
+        m_reachedMostAt = time;
+    if (time - std::max(m_reachedMostAt, m_ownedSince) < patience)
+        return;
+    m_reachedMostAt = time;
+    // Daemons that still hear this one are most likely behind the same cut.
+    for (auto& [link, peer] : m_peers) {
+        if (peer.isOpen)
+            m_ports.links->send(link, OwnerYields {});
+    }
+    m_election.stepDown("only " + std::to_string(reached) + " of " + std::to_string(listed) + " VMs answer", time, time + abstention);
+    schedulePump();
+}
+
+void NodeCore::handle(LinkId, const OwnerYields&)
+{
+    /// Leaves the claim to daemons that did not hear of it.
+    constexpr Milliseconds deference { 700 };
+    m_election.abstain(Clock::now() + deference);
+}
+
 void NodeCore::keepLinks()
 {
     const auto time = Clock::now();
@@ -39,6 +72,7 @@
         m_ports.links->drop(link);
         onLinkClosed(link);
     }
+    keepReach(time);
     const auto& record = m_election.record();
     if (m_desk || m_election.isOwner() || !record || record->daemon == m_settings.name || time < m_nextDial)
         return;
@@ -78,11 +112,17 @@
     if (found == m_peers.end())
         return;
     const bool wasOwner = link == ownerLink();
+    const auto lastHeard = found->second.lastHeard;
     logEvent(LogLevel::Info, "peer_lost", { { "peer", found->second.hello.daemon }, { "owner", wasOwner } });
     m_peers.erase(found);
     // What the owner was asked is asked again, over the next link.
-    if (wasOwner)
+    if (wasOwner) {
         withdrawCalls();
+        m_nextDial = TimePoint();
+        // A link that fell silent says nothing of the process; one that was closed does.
+        if (Clock::now() - lastHeard < silenceLimit && !m_isStopping)
+            m_election.suspectOwner(Clock::now());
+    }
     for (auto& [id, order] : m_orders) {
         if (order.link == link)
             order.deadline = TimePoint();
@@ -113,6 +153,8 @@
         logEvent(LogLevel::Info, "peer_met", { { "peer", hello.daemon }, { "failure_domain", hello.failureDomain }, { "owner", hello.ownsCell }, { "policy", hello.policyVersion } });
     if (m_policy && hello.policyVersion < m_policy->version)
         m_ports.links->send(link, PeerPolicy { m_policyText });
+    if (hello.ownsCell)
+        m_election.trustOwner();
     if (becameOwner)
         schedulePump();
 }
--- a/lib/Work/Work.cpp
+++ b/lib/Work/Work.cpp
@@ -68,6 +68,16 @@
     return Milliseconds(longest);
 }
 
+double workOf(const JobSpec& spec)
+{
+    double work = 0;
+    for (const auto& step : spec.steps) {
+        if (!step.longRunning)
+            work += static_cast<double>(step.tasks) * static_cast<double>(step.estimateMs) * static_cast<double>(step.need.cpuMilli) / 1000;
+    }
+    return work;
+}
+
 std::string stepText(const TaskId& task)
 {
     return task.job + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step);
--- a/unittests/Cell/ElectionTest.cpp
+++ b/unittests/Cell/ElectionTest.cpp
@@ -118,3 +118,33 @@
     CHECK_FALSE(awaitClaim(desk, now, Milliseconds(9000)));
     CHECK(awaitClaim(desk, now, Milliseconds(2000)));
 }
+
+TEST_CASE("An owner whose connection was closed is replaced soon, unless it shows itself")
+{
+    auto now = start;
+    auto desk = makeDesk("a");
+    desk.onRecord(recordOf("b", 4), now);
+    desk.suspectOwner(now);
+    desk.trustOwner();
+    CHECK_FALSE(awaitClaim(desk, now, Milliseconds(1000)));
+    desk.suspectOwner(now);
+    const auto claim = awaitClaim(desk, now, Milliseconds(500));
+    REQUIRE(claim);
+    CHECK(claim->expected == 4);
+    CHECK(claim->replacedLease == 5);
+    desk.onClaim(claim->nonce, ClaimOutcome::Lost, 6, 0, now, now);
+    desk.onRecord(recordOf("c", 9), now);
+    // A daemon that alone cannot reach the owners does not depose one after the other.
+    desk.suspectOwner(now);
+    CHECK_FALSE(awaitClaim(desk, now, Milliseconds(2000)));
+}
+
+TEST_CASE("A daemon that abstains leaves the claim to others")
+{
+    auto now = start;
+    auto desk = makeDesk("a");
+    desk.abstain(now + Milliseconds(700));
+    desk.onRecord(std::nullopt, now);
+    CHECK_FALSE(awaitClaim(desk, now, Milliseconds(600)));
+    CHECK(awaitClaim(desk, now, Milliseconds(400)));
+}
