--- a/lib/Cell/State.cpp
+++ b/lib/Cell/State.cpp
@@ -107,10 +107,8 @@
             if (!written->isDurable)
                 wantPlacing();
             written->isDurable = true;
-            // A change after the write is still to be made durable.
-            if (!m_dirty.contains(written->id))
-                written->shownPhase = written->phase;
-            else if (!isFinal(written->phase))
+            // A final phase that came after the write is still to be made durable.
+            if (!m_dirty.contains(written->id) || !isFinal(written->phase))
                 written->shownPhase = written->phase;
         }
         if (after.answer)
--- a/lib/Node/Orders.cpp
+++ b/lib/Node/Orders.cpp
@@ -76,7 +76,7 @@
         m_delegated[link].orders.push_back(std::move(order));
         return;
     }
-    carryOut(std::move(order), m_election.fencingToken(), m_tenureOver, [this](VmResult result) { onVmResult(result); });
+    carryOut(std::move(order), m_election.fencingToken(), m_tenureOver, [this](const VmResult& result) { onVmResult(result); });
 }
 
 void NodeCore::sendOrders()
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -228,6 +228,7 @@
         job.submission = std::move(item.value);
     }
     std::vector<cell::StoredJob> result;
+    result.reserve(jobs.size());
     for (auto& [id, job] : jobs)
         result.push_back(std::move(job));
     return result;
@@ -280,6 +281,7 @@
 void NodeCore::applyRegistry()
 {
     std::vector<cell::VmReport> reports;
+    reports.reserve(m_registry.size());
     for (const auto& [id, report] : m_registry)
         reports.push_back(report);
     m_desk->setVms(reports, now());
--- a/tools/cell-model/CellModel.h
+++ b/tools/cell-model/CellModel.h
@@ -85,6 +85,8 @@
 
 struct ModelResult {
     std::map<std::string, QueueResult> queues;
+    /// Jobs of all queues by team; without waiting times.
+    std::map<std::string, QueueResult> teams;
     std::uint64_t starts = 0;
     std::uint64_t commits = 0;
     std::uint64_t adviceCalls = 0;
