--- /dev/null
+++ b/tools/cell-model/ModelVms.cpp
@@ -0,0 +1,319 @@
+#include "World.h"
+
+namespace heatherchute::cell {
+
+Room ModelVm::used() const
+{
+    Room sum;
+    for (const auto& [task, run] : running)
+        sum += run.need;
+    return sum;
+}
+
+void World::checkStart(const ModelVm& vm, const StartRun& order)
+{
+    const auto name = taskText(order.task);
+    const auto job = m_jobs.find(order.task.job);
+    if (job == m_jobs.end())
+        return broken("start of " + name + ", which nobody handed in");
+    const auto& step = job->second.spec.steps.at(order.task.step);
+    const auto& task = job->second.tasks.at(order.task);
+    if (!(vm.used() + step.need).fitsIn(vm.report.capacity))
+        broken("start of " + name + " overcommits " + vm.report.id);
+    if (task.doneNoted)
+        broken("start of " + name + " after its end was taken note of");
+    if (task.failuresNoted >= job->second.queue->policy.maxAttempts && !step.gang)
+        broken("start of " + name + " after all its attempts");
+    for (const auto& [id, other] : m_vms) {
+        if (other.isUp && id != vm.report.id && other.running.contains(order.task))
+            broken("start of " + name + " on " + vm.report.id + ", though it runs elsewhere");
+    }
+    for (const auto earlier : step.after) {
+        for (const auto& [id, known] : job->second.tasks) {
+            if (id.step == earlier && !known.isDone)
+                return broken("start of " + name + " before step " + std::to_string(earlier) + " is done");
+        }
+    }
+    std::size_t together = 0;
+    for (const auto& [id, run] : vm.running)
+        together += id.job == order.task.job && id.step == order.task.step ? 1 : 0;
+    if (step.maxTasksPerVm > 0 && together >= step.maxTasksPerVm)
+        broken("start of " + name + " beside too many of its step on " + vm.report.id);
+    Room team = step.need;
+    for (const auto& [id, other] : m_vms) {
+        for (const auto& [running, run] : other.running) {
+            if (other.isUp && m_jobs.at(running.job).team == job->second.team)
+                team += run.need;
+        }
+    }
+    const auto limit = m_policy->findTeam(job->second.team)->upperLimit;
+    if (team.cpuMilli > limit.cpuMilli)
+        broken("start of " + name + " takes " + job->second.team + " over its limit");
+}
+
+StartAnswer World::startAt(ModelVm& vm, std::uint64_t fence, const StartRun& order)
+{
+    if (fence < vm.fence)
+        return StartAnswer::Fenced;
+    vm.fence = fence;
+    const auto nowMs = vm.clockMs(m_clock.now());
+    const auto running = vm.running.find(order.task);
+    if (running != vm.running.end() && running->second.run == order.run)
+        return StartAnswer::Started;
+    const auto barred = vm.forbidden.find(order.task);
+    if (barred != vm.forbidden.end() && order.run <= barred->second)
+        return StartAnswer::Superseded;
+    if (running != vm.running.end())
+        return StartAnswer::Superseded;
+    if (order.deadlineMs <= nowMs)
+        return StartAnswer::TooLate;
+    checkStart(vm, order);
+    ++m_result.starts;
+    auto& job = m_jobs.at(order.task.job);
+    if (!job.hasStarted) {
+        job.hasStarted = true;
+        m_result.queues[job.queue->policy.name].waitMs.push_back(std::chrono::duration<double, std::milli>(m_clock.now() - job.handedIn).count());
+    }
+    vm.leaseUntil = std::max(vm.leaseUntil, m_clock.now() + Milliseconds(order.deadlineMs - nowMs));
+    ++vm.life;
+    const auto runMs = job.tasks.at(order.task).runMs * vm.speed;
+    vm.running[order.task] = { order.run, job.spec.steps.at(order.task.step).need, m_clock.now() + Milliseconds(std::llround(runMs)), vm.life, order.checkpoint };
+    if (isGang(order.task))
+        joinGang(vm, order.task, order.run, runMs);
+    else
+        beginRun(vm, order.task, order.run, runMs);
+    m_clock.at(vm.leaseUntil, [this, &vm] { lapse(vm); });
+    return StartAnswer::Started;
+}
+
+void World::beginRun(ModelVm& vm, const TaskId& task, std::uint32_t run, double runMs)
+{
+    const bool isFailing = uniform() < m_settings.faults.failedRuns;
+    m_clock.after(Milliseconds(std::llround(isFailing ? runMs / 2 : runMs)), [this, &vm, task, run, isFailing] {
+        const auto found = vm.running.find(task);
+        if (vm.isUp && found != vm.running.end() && found->second.run == run)
+            endRun(vm, task, isFailing ? RunEnd::Failed : RunEnd::Done);
+    });
+}
+
+void World::joinGang(ModelVm& vm, const TaskId& task, std::uint32_t run, double runMs)
+{
+    constexpr Milliseconds gangTimeout { 3000 };
+    const TaskId key { task.job, task.occurrence, task.step, run };
+    auto& gang = m_gangs[key];
+    gang.members[task] = vm.report.id;
+    m_clock.after(gangTimeout, [this, key, &vm, task, run] {
+        const auto found = vm.running.find(task);
+        if (!m_gangs[key].isWorking && vm.isUp && found != vm.running.end() && found->second.run == run)
+            endRun(vm, task, RunEnd::Alone);
+    });
+    if (gang.members.size() < m_jobs.at(task.job).spec.steps.at(task.step).tasks)
+        return;
+    gang.isWorking = true;
+    const bool isFailing = uniform() < m_settings.faults.failedRuns;
+    m_clock.after(Milliseconds(std::llround(isFailing ? runMs / 2 : runMs)), [this, key, &vm, task, run, isFailing] {
+        const auto found = vm.running.find(task);
+        if (!vm.isUp || found == vm.running.end() || found->second.run != run)
+            return;
+        if (isFailing)
+            return endRun(vm, task, RunEnd::Failed);
+        for (const auto& [member, id] : std::exchange(m_gangs[key].members, {})) {
+            auto& other = m_vms.at(id);
+            if (other.isUp && other.running.contains(member))
+                endRun(other, member, RunEnd::Done);
+            m_jobs.at(member.job).tasks.at(member).isDone = true;
+        }
+    });
+}
+
+void World::breakGang(const TaskId& member, std::uint32_t run)
+{
+    auto& gang = m_gangs[{ member.job, member.occurrence, member.step, run }];
+    const auto others = std::exchange(gang.members, {});
+    if (!gang.isWorking)
+        return;
+    for (const auto& [task, id] : others) {
+        auto& vm = m_vms.at(id);
+        const auto found = vm.running.find(task);
+        if (task != member && vm.isUp && found != vm.running.end() && found->second.run == run)
+            endRun(vm, task, RunEnd::Broken);
+    }
+}
+
+void World::endRun(ModelVm& vm, const TaskId& task, RunEnd end)
+{
+    const auto run = vm.running.at(task).run;
+    vm.running.erase(task);
+    if (end != RunEnd::Done && isGang(task))
+        breakGang(task, run);
+    vm.forbidden[task] = std::max(vm.forbidden[task], run);
+    vm.finished.push_back({ vm.nextEnd++, task, run, end, {} });
+    trace(runEndName(end), "end " + taskText(task) + " run " + std::to_string(run) + " on " + vm.report.id);
+    m_result.wastedRuns += end == RunEnd::Done ? 0 : 1;
+    if (end == RunEnd::Done)
+        m_jobs.at(task.job).tasks.at(task).isDone = true;
+    for (auto& waiter : std::exchange(vm.waiters, {}))
+        waiter();
+}
+
+void World::lapse(ModelVm& vm)
+{
+    if (!vm.isUp || m_clock.now() < vm.leaseUntil)
+        return;
+    // What ended before the lapse cannot be taken note of any more.
+    vm.lapsedThrough = vm.nextEnd - 1;
+    std::vector<TaskId> tasks;
+    for (const auto& [task, run] : vm.running)
+        tasks.push_back(task);
+    for (const auto& task : tasks) {
+        // The end of one member of a gang ends the others with it.
+        if (vm.running.contains(task))
+            endRun(vm, task, RunEnd::Lapsed);
+    }
+}
+
+void World::crash(ModelVm& vm, bool isBack)
+{
+    if (!vm.isUp)
+        return;
+    trace("crash", vm.report.id);
+    vm.isUp = false;
+    const auto running = std::exchange(vm.running, {});
+    for (const auto& [task, run] : running) {
+        if (isGang(task))
+            breakGang(task, run.run);
+    }
+    vm.finished.clear();
+    vm.forbidden.clear();
+    vm.waiters.clear();
+    vm.nextEnd = 1;
+    vm.lapsedThrough = 0;
+    vm.fence = 0;
+    ++vm.life;
+    m_clock.after(Milliseconds(3000), [this] { updateRegistry(); pump(); });
+    if (!isBack)
+        return;
+    m_clock.after(Milliseconds(std::llround(around(2500, 0.5))), [this, &vm] {
+        vm.isUp = true;
+        vm.bornAt = m_clock.now();
+        vm.report.incarnation += 1000;
+        updateRegistry();
+        pump();
+    });
+}
+
+void World::start(std::uint64_t owner, std::uint64_t fence, const StartRun& order)
+{
+    const auto lost = [this, owner, order] {
+        toOwner(owner, Milliseconds(700), [this, order] { m_desk->onStart(order.vm, order.task, order.run, StartAnswer::Unknown, m_clock.deskTime()); });
+    };
+    auto delay = wire();
+    const bool isLate = uniform() < m_settings.faults.lateOrders;
+    const bool isLost = isLate || uniform() < m_settings.faults.lostAnswers;
+    if (isLate)
+        delay += Milliseconds(2000 + std::llround(uniform() * 10'000));
+    if (isLost)
+        lost();
+    const auto sentTo = m_vms.at(order.vm).bornAt;
+    m_clock.after(delay, [this, owner, fence, order, isLost, lost, sentTo] {
+        auto& vm = m_vms.at(order.vm);
+        // An order that a VM keeps for later dies with that life of the VM.
+        const bool isDelivered = isReachable(vm) && vm.bornAt == sentTo;
+        if (!isDelivered && !isLost)
+            return lost();
+        if (!isDelivered)
+            return;
+        const auto answer = startAt(vm, fence, order);
+        trace(startAnswerName(answer), "start " + taskText(order.task) + " run " + std::to_string(order.run) + " on " + order.vm + " fence " + std::to_string(fence));
+        if (!isLost)
+            toOwner(owner, wire(), [this, order, answer] { m_desk->onStart(order.vm, order.task, order.run, answer, m_clock.deskTime()); });
+    });
+}
+
+void World::stop(std::uint64_t owner, std::uint64_t fence, const StopRun& order)
+{
+    m_clock.after(wire(), [this, owner, fence, order] {
+        auto& vm = m_vms.at(order.vm);
+        const bool isReached = isReachable(vm);
+        const bool isFenced = isReached && fence < vm.fence;
+        if (isReached && !isFenced) {
+            vm.fence = fence;
+            vm.forbidden[order.task] = std::max(vm.forbidden[order.task], order.run);
+            const auto found = vm.running.find(order.task);
+            if (found != vm.running.end() && found->second.run <= order.run) {
+                m_clock.after(Milliseconds(80), [this, &vm, task = order.task, life = found->second.life] {
+                    const auto still = vm.running.find(task);
+                    if (vm.isUp && still != vm.running.end() && still->second.life == life)
+                        endRun(vm, task, RunEnd::Stopped);
+                });
+            }
+        }
+        toOwner(owner, isReached ? wire() : Milliseconds(700), [this, order, isReached, isFenced] {
+            m_desk->onStop(order.vm, order.task, order.run, isReached && !isFenced, isFenced, m_clock.deskTime());
+        });
+    });
+}
+
+void World::acknowledge(ModelVm& vm, std::uint64_t number)
+{
+    std::erase_if(vm.finished, [&](const FinishedTask& ended) {
+        if (ended.number > number)
+            return false;
+        auto& task = m_jobs.at(ended.task.job).tasks.at(ended.task);
+        const bool isNoted = ended.end == RunEnd::Done && ended.number > vm.lapsedThrough;
+        task.doneNoted = task.doneNoted || isNoted;
+        if (isNoted && isGang(ended.task)) {
+            // One end stands for the whole gang.
+            for (auto& [id, other] : m_jobs.at(ended.task.job).tasks) {
+                if (id.step == ended.task.step && id.occurrence == ended.task.occurrence)
+                    other.doneNoted = other.isDone = true;
+            }
+        }
+        task.failuresNoted += ended.end == RunEnd::Failed ? 1 : 0;
+        return true;
+    });
+}
+
+void World::beat(std::uint64_t owner, std::uint64_t fence, const BeatVm& order)
+{
+    const auto sentAt = m_clock.now();
+    m_clock.after(wire(), [this, owner, fence, order, sentAt] {
+        auto& vm = m_vms.at(order.vm);
+        BeatAnswer answer { order.vm, sentAt, false, std::nullopt };
+        if (!isReachable(vm)) {
+            toOwner(owner, Milliseconds(700), [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+            return;
+        }
+        if (fence < vm.fence) {
+            answer.fenced = true;
+            toOwner(owner, wire(), [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+            return;
+        }
+        vm.fence = fence;
+        acknowledge(vm, order.acknowledged);
+        if (order.deadlineMs > 0) {
+            vm.leaseUntil = std::max(vm.leaseUntil, m_clock.now() + Milliseconds(order.deadlineMs - vm.clockMs(m_clock.now())));
+            m_clock.at(vm.leaseUntil, [this, &vm] { lapse(vm); });
+        }
+        auto isAnswered = std::make_shared<bool>(false);
+        auto reply = [this, &vm, owner, answer, isAnswered, bornAt = vm.bornAt]() mutable {
+            if (std::exchange(*isAnswered, true))
+                return;
+            if (!isReachable(vm) || vm.bornAt != bornAt) {
+                toOwner(owner, Milliseconds(700), [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+                return;
+            }
+            VmState state { vm.clockMs(m_clock.now()), vm.report.incarnation, {}, vm.finished };
+            for (const auto& [task, run] : vm.running)
+                state.running.push_back({ task, run.run, run.checkpoint, 100 });
+            answer.state = state;
+            toOwner(owner, wire(), [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+        };
+        if (order.wait.count() == 0 || !vm.finished.empty())
+            return reply();
+        vm.waiters.emplace_back(reply);
+        m_clock.after(order.wait, reply);
+    });
+}
+
+} // namespace heatherchute::cell
--- a/tools/cell-model/World.h
+++ b/tools/cell-model/World.h
@@ -3,6 +3,7 @@
 
 #include "CellModel.h"
 
+#include <cmath>
 #include <queue>
 
 namespace heatherchute::cell {
@@ -93,4 +94,74 @@
     std::map<TaskId, ModelTask> tasks;
 };
 
+/// One day: the owner, what surrounds it, and the judge of both.
+class World {
+public:
+    explicit World(const ModelSettings& settings);
+    ModelResult play();
+
+private:
+    void makeVms();
+    void makePolicy();
+    void scheduleArrivals();
+    void scheduleFaults();
+    void submit(const ModelQueue& queue);
+    JobSpec makeSpec(const ModelQueue& queue, ModelJob& job);
+    static bool isAllowed(const std::string& step, const std::string& vm, double share);
+    std::uint32_t slotsFor(const std::string& job, int step, const Room& need, double share) const;
+    void beginOwner();
+    void changeOwner();
+    void pump();
+    void carryOut(std::uint64_t owner, std::uint64_t fence, const Action& action);
+    void commit(std::uint64_t owner, const CommitState& state);
+    void start(std::uint64_t owner, std::uint64_t fence, const StartRun& order);
+    void stop(std::uint64_t owner, std::uint64_t fence, const StopRun& order);
+    void beat(std::uint64_t owner, std::uint64_t fence, const BeatVm& order);
+    void advise(std::uint64_t owner, const AskAdvice& order);
+    void answered(const AnswerCall& answer);
+    StartAnswer startAt(ModelVm& vm, std::uint64_t fence, const StartRun& order);
+    void endRun(ModelVm& vm, const TaskId& task, RunEnd end);
+    void beginRun(ModelVm& vm, const TaskId& task, std::uint32_t run, double runMs);
+    void joinGang(ModelVm& vm, const TaskId& task, std::uint32_t run, double runMs);
+    void breakGang(const TaskId& member, std::uint32_t run);
+    bool isGang(const TaskId& task) const { return m_jobs.at(task.job).spec.steps.at(task.step).gang; }
+    void acknowledge(ModelVm& vm, std::uint64_t number);
+    void lapse(ModelVm& vm);
+    void crash(ModelVm& vm, bool isBack);
+    void checkStart(const ModelVm& vm, const StartRun& order);
+    void broken(const std::string& text);
+    void toOwner(std::uint64_t owner, Milliseconds delay, std::function<void()> action);
+    bool isReachable(const ModelVm& vm) const { return vm.isUp && m_clock.now() >= vm.cutUntil; }
+    void finishJobs();
+    void trace(std::string_view what, const std::string& text);
+    void updateRegistry();
+
+    double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+    /// Positive, with that mean and a moderate spread.
+    double around(double mean, double spread) { return mean * std::exp(std::normal_distribution<double>(-spread * spread / 2, spread)(m_random)); }
+    Milliseconds wire() { return Milliseconds(std::max<std::int64_t>(1, std::llround(around(static_cast<double>(m_settings.networkDelay.count()), 0.3)))); }
+    void repeat(double meanSeconds, std::function<void()> fault);
+
+    ModelSettings m_settings;
+    std::mt19937_64 m_random;
+    ModelClock m_clock;
+    TimePoint m_loadEnd;
+    std::map<std::string, ModelVm> m_vms;
+    std::map<std::string, ModelJob> m_jobs;
+    /// By the gang's step, with the run number as the index.
+    std::map<TaskId, ModelGang> m_gangs;
+    std::map<std::string, std::string> m_store;
+    std::map<CallId, std::string> m_calls;
+    std::set<CallId> m_cancels;
+    CallId m_nextCall = 1;
+    CellPolicyPointer m_policy;
+    std::unique_ptr<CellDesk> m_desk;
+    std::uint64_t m_owner = 0;
+    TimePoint m_storeDownUntil;
+    bool m_pumpWanted = false;
+    ModelResult m_result;
+    double m_passUs = 0;
+    std::uint64_t m_passes = 0;
+};
+
 } // namespace heatherchute::cell
