Let the model own its repeated actions

Cause: actions that schedule themselves held themselves by shared pointers; the leak check of the sanitized unit tests found 10,371 allocations left. Change: the world owns them. Ruled out: leaks of the desk, all traces begin in the model's loops.

--- a/tools/cell-model/CellModel.cpp
+++ b/tools/cell-model/CellModel.cpp
@@ -141,7 +141,7 @@
     job.spec = makeSpec(queue, job);
     const auto id = job.id;
     m_jobs.emplace(id, std::move(job));
-    auto tries = std::make_shared<std::function<void(int)>>();
+    auto* const tries = keep<std::function<void(int)>>();
     // A caller without an owner in reach, or without an answer, asks again.
     *tries = [this, id, tries](int left) {
         auto& known = m_jobs.at(id);
@@ -170,7 +170,7 @@
 void World::scheduleArrivals()
 {
     for (const auto& queue : m_settings.queues) {
-        auto next = std::make_shared<std::function<void()>>();
+        auto* const next = keep<std::function<void()>>();
         *next = [this, &queue, next] {
             if (m_clock.now() >= m_loadEnd)
                 return;
@@ -186,7 +186,7 @@
 {
     if (meanSeconds <= 0)
         return;
-    auto next = std::make_shared<std::function<void()>>();
+    auto* const next = keep<std::function<void()>>();
     *next = [this, meanSeconds, fault = std::move(fault), next] {
         if (m_clock.now() >= m_loadEnd)
             return;
@@ -411,7 +411,7 @@
     scheduleArrivals();
     scheduleFaults();
     const auto end = m_loadEnd + m_settings.longestTail;
-    auto tick = std::make_shared<std::function<void()>>();
+    auto* const tick = keep<std::function<void()>>();
     *tick = [this, tick] {
         pump();
         finishJobs();
--- a/tools/cell-model/World.h
+++ b/tools/cell-model/World.h
@@ -101,6 +101,14 @@
     ModelResult play();
 
 private:
+    /// An action that schedules itself again lives as long as the world, which owns it.
+    template <typename T>
+    T* keep()
+    {
+        auto kept = std::make_shared<T>();
+        m_kept.push_back(kept);
+        return kept.get();
+    }
     void makeVms();
     void makePolicy();
     void scheduleArrivals();
@@ -142,6 +150,7 @@
     Milliseconds wire() { return Milliseconds(std::max<std::int64_t>(1, std::llround(around(static_cast<double>(m_settings.networkDelay.count()), 0.3)))); }
     void repeat(double meanSeconds, std::function<void()> fault);
 
+    std::vector<std::shared_ptr<void>> m_kept;
     ModelSettings m_settings;
     std::mt19937_64 m_random;
     ModelClock m_clock;
