Remove dead state; one bound for orders; one count of VMs that answer

Cause: the last reading found a seed and two members that nothing read, the order time-out written in the adapter and three times more in the daemon, and the count of reachable VMs twice. Change: removed; platform::orderTimeout is the one bound; figures() calls reach(). Behaviour as before.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -285,7 +285,7 @@
 class CellDesk {
 public:
     /// `inheritedLeaseEnd`: by then every lease that an earlier owner gave has run out.
-    CellDesk(CellLimits limits, TimePoint inheritedLeaseEnd, std::uint64_t seed);
+    CellDesk(CellLimits limits, TimePoint inheritedLeaseEnd);
 
     void setPolicy(CellPolicyPointer policy);
     /// Whether the ownership surely holds: only then are leases extended and runs started.
@@ -408,7 +408,6 @@
 
     CellLimits m_limits;
     TimePoint m_inheritedLeaseEnd;
-    std::uint64_t m_random;
     CellPolicyPointer m_policy;
     std::map<std::string, Job> m_jobs;
     std::map<std::string, Vm> m_vms;
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -2,10 +2,9 @@
 
 namespace heatherchute::cell {
 
-CellDesk::CellDesk(CellLimits limits, TimePoint inheritedLeaseEnd, std::uint64_t seed)
+CellDesk::CellDesk(CellLimits limits, TimePoint inheritedLeaseEnd)
     : m_limits(limits)
     , m_inheritedLeaseEnd(inheritedLeaseEnd)
-    , m_random(seed)
 {
 }
 
@@ -234,10 +233,7 @@
                 figures.waitingTasks += static_cast<std::size_t>(std::count_if(step.tasks.begin(), step.tasks.end(), [](const auto& task) { return task.phase == TaskPhase::Waiting; }));
         }
     }
-    for (const auto& [id, vm] : m_vms) {
-        figures.vms += vm.listed ? 1 : 0;
-        figures.reachableVms += vm.listed && vm.fenced && vm.misses == 0 ? 1 : 0;
-    }
+    std::tie(figures.vms, figures.reachableVms) = reach();
     return figures;
 }
 
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -177,7 +177,6 @@
     bool m_pumpScheduled = false;
     bool m_isStopping = false;
     TimePoint m_stopAt;
-    bool m_callersClosed = false;
 
     std::string m_policyText;
     cell::CellPolicyPointer m_policy;
--- a/lib/Node/Duties.h
+++ b/lib/Node/Duties.h
@@ -99,7 +99,6 @@
     void answer(std::uint64_t id, HttpResponse response);
     void setReady(bool ready) { m_ready.store(ready); }
     void beginDrain();
-    void closeCallers() { m_callers->close(); }
     std::size_t requestsInProgress() const { return m_callers->requestsInProgress(); }
     Duty& duty() { return m_duty; }
 
--- a/lib/Node/Orders.cpp
+++ b/lib/Node/Orders.cpp
@@ -20,7 +20,7 @@
     order.deadlineMs = start.deadlineMs;
     order.checkpoint = start.checkpoint;
     order.ticket = start.ticket;
-    dispatchOrder(std::move(order), start.task, Milliseconds(700));
+    dispatchOrder(std::move(order), start.task, platform::orderTimeout);
 }
 
 void NodeCore::run(const cell::StopRun& stop)
@@ -32,7 +32,7 @@
     order.address = addressText(stop.address);
     order.task = cell::taskText(stop.task);
     order.run = stop.run;
-    dispatchOrder(std::move(order), stop.task, Milliseconds(700));
+    dispatchOrder(std::move(order), stop.task, platform::orderTimeout);
 }
 
 void NodeCore::run(const cell::BeatVm& beat)
@@ -44,7 +44,7 @@
     order.deadlineMs = beat.deadlineMs;
     order.acknowledged = beat.acknowledged;
     order.waitMs = static_cast<std::uint64_t>(beat.wait.count());
-    dispatchOrder(std::move(order), {}, beat.wait + Milliseconds(700));
+    dispatchOrder(std::move(order), {}, beat.wait + platform::orderTimeout);
 }
 
 LinkId NodeCore::delegateFor(const std::string& vm) const
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -259,7 +259,7 @@
                 limits.spreadFactor = m_settings.spreadFactor;
                 // No earlier owner extends a lease after the moment at which its record could be replaced.
                 const auto inherited = m_claimSentAt + inheritedLease(m_settings);
-                m_desk = std::make_unique<cell::CellDesk>(limits, inherited, stableHash(m_incarnation));
+                m_desk = std::make_unique<cell::CellDesk>(limits, inherited);
                 if (m_policy)
                     m_desk->setPolicy(m_policy);
                 m_desk->load(jobs, now());
--- a/tools/cell-model/CellModel.cpp
+++ b/tools/cell-model/CellModel.cpp
@@ -232,7 +232,7 @@
     CellLimits limits;
     limits.vmLease = m_settings.vmLease;
     const auto inherited = m_clock.now() + m_settings.vmLease * 103 / 100 + Milliseconds(400);
-    m_desk = std::make_unique<CellDesk>(limits, inherited, m_settings.seed + m_owner);
+    m_desk = std::make_unique<CellDesk>(limits, inherited);
     m_desk->setPolicy(m_policy);
     std::map<std::string, StoredJob> jobs;
     for (const auto& [key, value] : m_store) {
