--- a/include/heatherchute/Runtime.h
+++ b/include/heatherchute/Runtime.h
@@ -10,53 +10,52 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/future.hpp>
-#include <boost/lockfree/queue.hpp>
 #include <boost/system/error_code.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <thread>
 
 namespace heatherchute {
 
-/// Bounded ring for many producers and consumers. A full ring refuses; it never blocks or grows.
+/// Bounded ring for many producers and consumers. A full ring refuses; it never waits for room or
+/// grows. The lock is held only while one message is moved.
 template <typename T>
 class Ring {
 public:
-    /// `capacity` is at most 65,000 messages.
     explicit Ring(std::size_t capacity)
-        : m_queue(capacity)
+        : m_capacity(capacity)
     {
     }
     Ring(const Ring&) = delete;
     Ring& operator=(const Ring&) = delete;
-    ~Ring()
-    {
-        while (tryPop()) { }
-    }
 
     /// False when the ring is full; `message` is then as it was.
     bool tryPush(T& message)
     {
-        auto node = std::make_unique<T>(std::move(message));
-        if (!m_queue.bounded_push(node.get())) {
-            message = std::move(*node);
+        const std::lock_guard lock(m_mutex);
+        if (m_messages.size() == m_capacity)
             return false;
-        }
-        (void)node.release();
+        m_messages.push_back(std::move(message));
         return true;
     }
 
     std::optional<T> tryPop()
     {
-        T* node = nullptr;
-        if (!m_queue.pop(node))
+        const std::lock_guard lock(m_mutex);
+        if (m_messages.empty())
             return std::nullopt;
-        const std::unique_ptr<T> owned(node);
-        return std::move(*owned);
+        std::optional<T> message(std::move(m_messages.front()));
+        m_messages.pop_front();
+        return message;
     }
 
 private:
-    boost::lockfree::queue<T*> m_queue;
+    const std::size_t m_capacity;
+    std::mutex m_mutex;
+    /// Takes memory as it fills: most rings of a daemon stay near empty.
+    std::deque<T> m_messages;
 };
 
 /// One thread with an event loop. Handlers run on the loop; fibers run between them.
