A soak of the cell with real processes behind fault-injecting proxies

Change: test/cell holds stand-ins that speak the platform's protocol (store with leases, watches and transactions; VMs with leases, fences, gangs and checkpoints; advice), a loopback proxy that delays, cuts one way, silences and resets, and a soak that starts six daemons, sends jobs over connections that stay open, and kills, stops, freezes and signals processes. It judges while it runs, from what callers and VMs see. A scenario is a text of timed faults; a seed draws one. `advertise_peers` lets a daemon be reached through a relay; the proxies stand there.

--- a/include/heatherchute/Node.h
+++ b/include/heatherchute/Node.h
@@ -14,6 +14,8 @@
     Address listenCallers;
     Address listenReadiness;
     Address listenPeers;
+    /// Where other daemons reach this one, when a relay stands between; by default `listenPeers`.
+    Address advertisePeers;
     Address listenMetrics;
     Address store;
     /// Service that knows which VMs may run a step; port zero when there is none.
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -21,7 +21,7 @@
 void NodeCore::sendHello(LinkId link, Peer& peer)
 {
     peer.lastHello = Clock::now();
-    m_ports.links->send(link, PeerHello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_desk != nullptr, addressText(m_settings.listenPeers), m_desk ? m_election.fencingToken() : 0, m_settings.processorShare });
+    m_ports.links->send(link, PeerHello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_desk != nullptr, addressText(m_settings.advertisePeers), m_desk ? m_election.fencingToken() : 0, m_settings.processorShare });
 }
 
 void NodeCore::keepReach(TimePoint time)
--- a/lib/Node/Settings.cpp
+++ b/lib/Node/Settings.cpp
@@ -33,6 +33,9 @@
     settings.listenCallers = readAddress(reader, "listen_callers", true);
     settings.listenReadiness = readAddress(reader, "listen_readiness", true);
     settings.listenPeers = readAddress(reader, "listen_peers", true);
+    settings.advertisePeers = readAddress(reader, "advertise_peers", false);
+    if (settings.advertisePeers.port == 0)
+        settings.advertisePeers = settings.listenPeers;
     settings.listenMetrics = readAddress(reader, "listen_metrics", false);
     settings.store = readAddress(reader, "store", true);
     settings.advice = readAddress(reader, "advice", false);
--- /dev/null
+++ b/test/cell/cell.py
@@ -0,0 +1,215 @@
+"""One deployment on loopback: the platform's stand-ins in this process, daemons as processes."""
+
+import asyncio
+import json
+import os
+import shutil
+import signal
+import subprocess
+import tempfile
+import time
+
+from loopback import HttpServer, Proxy
+from store import Store
+from vms import Advice, Gangs, Vm
+
+# Bounds that the daemons' settings state, in seconds.
+GRACE_S = 6.0
+STATUS_S = 120
+
+# A VM that has been silent for so long leaves the registry.
+REGISTRY_S = 3.0
+
+# Queues by priority; the teams' upper limits bind the last one only.
+QUEUES = {"urgent": 0, "medium": 1, "large": 2}
+MAX_ATTEMPTS = 4
+TEAMS = {"blue": 0, "green": 0, "red": 12000}
+
+
+class Daemon:
+    """One process with proxies on its paths: callers, peers and store."""
+
+    def __init__(self, cell, name, zone):
+        self.cell = cell
+        self.name = name
+        self.zone = zone
+        self.process = None
+        self.frozen = False
+        # The port for peers is behind a proxy, so the daemons tell each other the proxy's address.
+        self.peers = Proxy(("127.0.0.1", cell.take_port()))
+        self.callers = Proxy(("127.0.0.1", cell.take_port()))
+        self.store = Proxy(("127.0.0.1", cell.store_server.port))
+        self.readiness = ("127.0.0.1", cell.take_port())
+        self.planned_stop = None
+        self.exit_codes = []
+
+    async def open(self):
+        for proxy in (self.peers, self.callers, self.store):
+            await proxy.open()
+        settings = {
+            "mode": "cell", "name": self.name, "failure_domain": self.zone,
+            "listen_callers": "127.0.0.1:%d" % self.callers.target[1], "listen_readiness": "127.0.0.1:%d" % self.readiness[1],
+            "listen_peers": "127.0.0.1:%d" % self.peers.target[1], "advertise_peers": f"127.0.0.1:{self.peers.port}",
+            "store": f"127.0.0.1:{self.store.port}",
+            "advice": f"127.0.0.1:{self.cell.advice_server.port}" if self.cell.with_advice else "",
+            "shortest_store_lease_ms": 1000, "longest_vm_lease_ms": 10000, "grace_s": GRACE_S, "job_retention_s": STATUS_S}
+        with open(self.path("json"), "w", encoding="utf-8") as file:
+            json.dump(settings, file)
+
+    def path(self, suffix):
+        return os.path.join(self.cell.folder, f"{self.name}.{suffix}")
+
+    def start(self):
+        self.planned_stop = None
+        with open(self.path("log"), "a", encoding="utf-8") as log:
+            command = [os.path.join(self.cell.build, "tools", "heatherchuted"), "--settings", self.path("json")]
+            self.process = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def signal(self, number):
+        if self.process and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def freeze(self):
+        self.frozen = True
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self):
+        self.frozen = False
+        self.signal(signal.SIGCONT)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+
+    def terminate(self):
+        self.planned_stop = time.monotonic()
+        self.signal(signal.SIGTERM)
+
+    def supervise(self):
+        """Starts the process again when it has ended; by itself it must not."""
+        if self.process is None or self.process.poll() is None:
+            if self.planned_stop and time.monotonic() > self.planned_stop + GRACE_S:
+                self.kill()
+            return
+        code = self.process.returncode
+        if code not in (-signal.SIGKILL, 0) or (code == 0 and not self.planned_stop):
+            self.exit_codes.append(code)
+        self.frozen = False
+        self.start()
+
+
+class Cell:
+    def __init__(self, build, record, seed, daemons=6, vms=12, with_advice=True):
+        self.build = build
+        self.record = record
+        self.seed = seed
+        self.with_advice = with_advice
+        self.counts = (daemons, vms)
+        self.folder = tempfile.mkdtemp(prefix="heatherchute-cell-")
+        self.store = Store(seed)
+        self.store_server = HttpServer(self.store.handle)
+        self.advice_server = HttpServer(Advice(record).handle)
+        self.gangs = Gangs()
+        self.vms = {}
+        self.vm_proxies = {}
+        self.daemons = {}
+        self.version = 0
+        self.tasks = []
+        self.ports = []
+        # Keys by team, and routes; both change with the operator's versions.
+        self.keys = {team: "key-" + team for team in TEAMS}
+        self.routes = dict(QUEUES)
+
+    def take_port(self):
+        """A port that is free now. It is bound again soon, before others are likely to take it."""
+        import socket
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        return self.take_port() if port in self.ports else self.ports.append(port) or port
+
+    async def open(self):
+        daemons, vms = self.counts
+        await self.store_server.open()
+        await self.advice_server.open()
+        zones = ["zone-a", "zone-b", "zone-c"]
+        for number in range(vms):
+            vm = Vm(f"i-{number:04d}", zones[number % 3], f"r{number % 3}-{number // 6}", self.store, self.gangs, self.record,
+                    self.seed * 1000 + number, {"cpu": 8000, "mem_mb": 16384, "gpu": 0})
+            server = HttpServer(vm.handle)
+            await server.open()
+            proxy = Proxy(("127.0.0.1", server.port))
+            await proxy.open()
+            vm.address = f"127.0.0.1:{proxy.port}"
+            self.vms[vm.id] = vm
+            self.vm_proxies[vm.id] = proxy
+            vm.come_back()
+        self.configure()
+        for number in range(daemons):
+            daemon = Daemon(self, f"daemon-{number}", zones[number % 3])
+            await daemon.open()
+            self.daemons[daemon.name] = daemon
+            daemon.start()
+        self.tasks = [asyncio.ensure_future(self.run())]
+
+    def configure(self):
+        """Writes the operator's next version."""
+        self.version += 1
+        self.store.put("op/config", json.dumps({
+            "version": self.version,
+            "routes": [{"name": name, "host": "cell.example", "path_prefix": f"/{name}/", "service": "workers", "priority": priority,
+                        "max_attempts": MAX_ATTEMPTS, "stretch": 2.0, "target_latency_ms": 1000,
+                        **({"hint": {"decide_ms": 5.0, "per_worker_ms": 0.2, "validity_ms": 1500}} if self.with_advice else {})}
+                       for name, priority in self.routes.items()],
+            "services": [{"name": "workers", "max_connections": 64, "preconditions": False}],
+            "tenants": [{"name": team, "api_keys": [key], "weight": 20, "upper_limit": {"cpu": TEAMS[team], "mem_mb": 0, "gpu": 0}}
+                        for team, key in self.keys.items()], "limits": {}}))
+        self.record.configured(self)
+
+    async def run(self):
+        """What goes on by itself: VMs work and report, leases end, processes are started again."""
+        report_at = 0.0
+        while True:
+            now = time.monotonic()
+            for vm in self.vms.values():
+                vm.tick(now)
+                if not vm.up and now > vm.down_since + REGISTRY_S:
+                    self.store.delete("servers/" + vm.id)
+            if self.store.mode != "down":
+                self.store.expire()
+            if now >= report_at:
+                report_at = now + 1.0
+                for vm in self.vms.values():
+                    if vm.up and self.store.mode == "up":
+                        vm.report()
+            for daemon in self.daemons.values():
+                daemon.supervise()
+            await asyncio.sleep(0.01)
+
+    def owner(self):
+        """The daemon that the owner's record names; None when there is no record."""
+        import base64
+        item = self.store.items.get("heatherchute/cell/owner")
+        return self.daemons.get(json.loads(base64.b64decode(item["value"]))["daemon"]) if item else None
+
+    def heal(self):
+        """Ends every fault that lasts."""
+        self.store.mode, self.store.lost, self.store.delay = "up", 0.0, 0.0
+        for daemon in self.daemons.values():
+            daemon.thaw()
+            for proxy in (daemon.peers, daemon.callers, daemon.store):
+                proxy.heal()
+        for vm in self.vms.values():
+            vm.lost, vm.fails_all = 0.0, False
+            self.vm_proxies[vm.id].heal()
+            if not vm.up:
+                vm.come_back()
+
+    async def close(self, keep):
+        for task in self.tasks:
+            task.cancel()
+        for daemon in self.daemons.values():
+            daemon.thaw()
+            daemon.kill()
+            daemon.process.wait()
+        if not keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
--- /dev/null
+++ b/test/cell/soak.py
@@ -0,0 +1,407 @@
+#!/usr/bin/env python3
+"""Runs daemons as processes on the platform's stand-ins, harms them, and checks what must hold.
+
+usage: soak.py --build DIR [--keep] (FILE.scn... | --seed N [--count N])
+
+A scenario has a line for each fault: "at SECONDS VERB [TARGET] [for SECONDS]"; "load SECONDS" says
+how long callers send. A seed makes such a scenario; the lines of one that fails are printed, so that
+it can be kept as a file.
+"""
+
+import argparse
+import asyncio
+import json
+import random
+import sys
+import time
+
+import cell as deployment
+from loopback import Channel
+from promises import CONFIG_S, Job, Promises
+
+# After the load and the last fault all accepted work must be done within this time.
+FINISH_S = 40.0
+PATIENCE_S = 3.0
+PLANNED = {"term", "key", "route", "hup", "drain"}
+
+
+class Callers:
+    """Callers hand jobs in, ask for them, cancel some, and keep their connections while they can."""
+
+    def __init__(self, cell, promises, seed, rate):
+        self.cell = cell
+        self.promises = promises
+        self.random = random.Random(seed)
+        self.rate = rate
+        self.ready = {name: True for name in cell.daemons}
+        self.next = 0
+        self.prefix = f"{seed & 0xFFFFFFFF:08x}"
+        self.cancel_share = 0.05
+
+    async def balance(self):
+        """Takes daemons out of rotation after two missed health checks, as the platform does."""
+        misses = {name: 0 for name in self.cell.daemons}
+        while True:
+            for name, daemon in self.cell.daemons.items():
+                answer = await Channel(daemon.readiness).call("GET", "/readiness", seconds=0.5)
+                misses[name] = 0 if answer and answer[0] == 200 else misses[name] + 1
+                self.ready[name] = misses[name] < 2
+            await asyncio.sleep(1.0)
+
+    def pick(self):
+        names = [name for name, is_ready in self.ready.items() if is_ready] or list(self.ready)
+        return self.cell.daemons[self.random.choice(names)]
+
+    def make_job(self):
+        self.next += 1
+        job_id = f"{self.prefix}{self.next:08x}"
+        queue = self.random.choices(["urgent", "medium", "large"], [6, 3, 1])[0]
+        team = self.random.choice(list(deployment.TEAMS))
+        steps = []
+        for number in range(2 if queue == "medium" else 1):
+            gang = queue == "large" or (queue == "urgent" and self.random.random() < 0.2)
+            count = self.random.randint(2, 6 if queue == "large" else 4)
+            steps.append({
+                # Six of the largest fit into the smallest limit of a team: no job here is hopeless.
+                "count": count, "cpu": self.random.randint(300, 2000), "mem_mb": self.random.randint(100, 4000),
+                "run_ms": self.random.randint(100, 1500 if queue == "large" else 500), "gang": count if gang else 0,
+                "saves": self.random.random() < 0.5, "fails": 0.02, "after": [number - 1] if number else []})
+        payload = json.dumps({"queue": queue, "steps": steps})
+        body = {"spec": payload, "steps": [
+            {"count": step["count"], "cpu": step["cpu"], "mem_mb": step["mem_mb"], "estimate_ms": step["run_ms"],
+             **({"after": step["after"]} if step["after"] else {}), **({"gang": True} if step["gang"] else {}),
+             **({"checkpointing": True} if step["saves"] else {})} for step in steps]}
+        job = self.promises.jobs[job_id] = Job(job_id, queue, team, payload, steps)
+        return job, json.dumps(body).encode()
+
+    async def call(self, channels, method, path, body=b"", team=None):
+        daemon = self.pick()
+        for name in list(channels):
+            # An open connection is used as long as it works, whatever the balancer says.
+            if self.random.random() < 0.8:
+                daemon = self.cell.daemons[name]
+                break
+        if daemon.name not in channels:
+            channels.clear()
+            channels[daemon.name] = Channel(("127.0.0.1", daemon.callers.port))
+        headers = {"Host": "cell.example", "X-Request-Deadline": str(int(PATIENCE_S * 1000))}
+        if team:
+            headers["Authorization"] = "Token " + self.cell.keys.get(team, "key-" + team)
+        answer = await channels[daemon.name].call(method, path, body, headers, PATIENCE_S + 0.3)
+        if answer is None:
+            channels.pop(daemon.name).close()
+            self.promises.unanswered(daemon.name, f"{method} {path}", daemon.planned_stop is not None)
+            return None, {}
+        return answer[0], json.loads(answer[2] or b"{}")
+
+    async def one_job(self, channels):
+        job, body = self.make_job()
+        path = f"/{job.queue}/{job.id}"
+        for _ in range(4):
+            status, _ = await self.call(channels, "POST", path, body, job.team)
+            self.promises.submitted(job, status)
+            if status == 200:
+                break
+            await asyncio.sleep(self.random.uniform(0.2, 1.0))
+        if job.accepted_at is None:
+            return
+        if self.random.random() < self.cancel_share:
+            await asyncio.sleep(self.random.uniform(0.0, 0.6))
+            await self.cancel(channels, job)
+        while job.shown not in ("completed", "failed", "cancelled"):
+            await asyncio.sleep(self.random.uniform(0.4, 1.2))
+            status, answer = await self.call(channels, "GET", path, team=job.team)
+            self.promises.asked(job, status, answer.get("state"))
+
+    async def cancel(self, channels, job):
+        job.cancel_sent = True
+        status, _ = await self.call(channels, "DELETE", f"/{job.queue}/{job.id}", team=job.team)
+        if status == 200:
+            job.cancelled_at = time.monotonic()
+
+    async def load(self, until):
+        jobs = []
+        idle = []
+
+        async def one_client():
+            # Connections outlive the job and serve another; some callers open their own.
+            channels = idle.pop() if idle and self.random.random() < 0.7 else {}
+            await self.one_job(channels)
+            idle.append(channels)
+
+        while time.monotonic() < until:
+            jobs.append(asyncio.ensure_future(one_client()))
+            await asyncio.sleep(self.random.expovariate(self.rate))
+        return jobs
+
+
+class Faults:
+    """Carries out the lines of a scenario."""
+
+    def __init__(self, cell, promises, callers, seed):
+        self.cell = cell
+        self.promises = promises
+        self.callers = callers
+        self.random = random.Random(seed)
+
+    def daemon(self, target):
+        if target == "owner":
+            return self.cell.owner() or next(iter(self.cell.daemons.values()))
+        return self.cell.daemons[target]
+
+    def daemons(self, target):
+        return list(self.cell.daemons.values()) if target == "all" else [self.daemon(target)]
+
+    async def carry_out(self, verb, target, seconds):
+        if verb not in PLANNED:
+            # A daemon that was stopped by force is back and caught up some seconds later.
+            self.promises.trouble(seconds + (4.0 if verb in ("kill", "freeze") else 0.0))
+        if verb in ("vm-late", "vm-cut", "vm-silence", "freeze"):
+            # What was on its way meanwhile arrives late, and is carried out late.
+            self.promises.late_until = max(self.promises.late_until, time.monotonic() + seconds + 12.0)
+        undo = getattr(self, "do_" + verb.replace("-", "_"))(target)
+        if undo:
+            await asyncio.sleep(seconds)
+            undo()
+
+    def do_kill(self, target):
+        for daemon in self.daemons(target):
+            daemon.kill()
+
+    def do_term(self, target):
+        self.daemon(target).terminate()
+
+    def do_hup(self, target):
+        import signal
+        self.daemon(target).signal(signal.SIGHUP)
+
+    def do_freeze(self, target):
+        frozen = self.daemons(target)
+        for daemon in frozen:
+            daemon.freeze()
+        return lambda: [daemon.thaw() for daemon in frozen]
+
+    def do_store(self, mode):
+        store = self.cell.store
+        if mode == "forget":
+            return store.forget_history()
+        if mode == "slow":
+            store.delay = 0.25
+            return lambda: setattr(store, "delay", 0.0)
+        if mode == "lost":
+            store.lost = 0.3
+            return lambda: setattr(store, "lost", 0.0)
+        store.mode = mode
+        return lambda: setattr(store, "mode", "up")
+
+    def proxied(self, target, path, change):
+        proxies = [getattr(daemon, path) for daemon in self.daemons(target)]
+        for proxy in proxies:
+            change(proxy)
+        return lambda: [proxy.heal() for proxy in proxies]
+
+    def do_cut_store(self, target):
+        return self.proxied(target, "store", lambda proxy: proxy.cut.update(("up", "down")))
+
+    def do_deaf_store(self, target):
+        """What the daemon sends arrives; no answer comes back."""
+        return self.proxied(target, "store", lambda proxy: proxy.cut.add("down"))
+
+    def do_silence(self, target):
+        for path in ("store", "peers"):
+            self.proxied(target, path, lambda proxy: proxy.silence())
+
+    def do_reset(self, target):
+        for path in ("store", "peers", "callers"):
+            self.proxied(target, path, lambda proxy: proxy.reset())
+
+    def do_cut_peers(self, target):
+        return self.proxied(target, "peers", lambda proxy: proxy.cut.add(self.random.choice(["up", "down"])))
+
+    def do_delay_peers(self, target):
+        return self.proxied(target, "peers", lambda proxy: setattr(proxy, "delay", 0.2))
+
+    def some_vms(self, count):
+        return self.random.sample(list(self.cell.vms.values()), int(count))
+
+    def do_vm_crash(self, count):
+        vms = [vm for vm in self.some_vms(count) if vm.up]
+        for vm in vms:
+            vm.crash()
+        return lambda: [vm.come_back() for vm in vms if not vm.up]
+
+    def do_vm_cut(self, count):
+        proxies = [self.cell.vm_proxies[vm.id] for vm in self.some_vms(count)]
+        for proxy in proxies:
+            proxy.cut.update(self.random.choice([("up", "down"), ("down",)]))
+        return lambda: [proxy.heal() for proxy in proxies]
+
+    def do_vm_silence(self, count):
+        for vm in self.some_vms(count):
+            self.cell.vm_proxies[vm.id].silence()
+
+    def do_vm_late(self, count):
+        vms = self.some_vms(count)
+        for vm in vms:
+            vm.lost = 0.4
+        return lambda: [setattr(vm, "lost", 0.0) for vm in vms]
+
+    def do_vm_fails(self, count):
+        vms = self.some_vms(count)
+        for vm in vms:
+            vm.fails_all = True
+        return lambda: [setattr(vm, "fails_all", False) for vm in vms]
+
+    def do_drain(self, count):
+        vms = [vm for vm in self.some_vms(count) if vm.up]
+        for vm in vms:
+            vm.draining = True
+            vm.draining_since = time.monotonic()
+            vm.report()
+        return lambda: [(setattr(vm, "draining", False), vm.report()) for vm in vms if vm.up]
+
+    def do_key(self, team):
+        """Replaces the key of a team; the old one must stop working."""
+        old = self.cell.keys[team]
+        self.cell.keys[team] = f"key-{team}-{self.cell.version}"
+        self.cell.configure()
+        asyncio.ensure_future(self.check_config(f"/urgent/{'0' * 16}", old, 401, self.cell.version))
+
+    def do_route(self, name):
+        """Takes a queue away, or gives it back."""
+        if name in self.cell.routes:
+            del self.cell.routes[name]
+        else:
+            self.cell.routes[name] = 1
+        self.cell.configure()
+        expected = 410 if name in self.cell.routes else 404
+        asyncio.ensure_future(self.check_config(f"/{name}/{'0' * 16}", self.cell.keys["blue"], expected, self.cell.version))
+
+    async def check_config(self, path, key, expected, version):
+        await asyncio.sleep(CONFIG_S)
+        if version != self.cell.version or not self.promises.is_calm():
+            return
+        for daemon in self.cell.daemons.values():
+            answer = await Channel(("127.0.0.1", daemon.callers.port)).call("GET", path, b"", {"Host": "cell.example", "Authorization": "Token " + key})
+            if answer and answer[0] not in (expected, 503) and self.promises.is_calm():
+                self.promises.broken("a configuration is in force", f"{path} at {daemon.name}: {answer[0]}, not {expected}, with version {version}")
+
+
+def draw_scenario(seed):
+    """Lines of a random scenario: faults in series that overlap."""
+    draw = random.Random(seed)
+    daemons = [f"daemon-{number}" for number in range(6)]
+    one = lambda: draw.choice(["owner", "owner", draw.choice(daemons)])
+    choices = [
+        lambda: f"kill {one()}", lambda: "kill all", lambda: f"freeze {one()} for {draw.choice([1, 3, 6])}", lambda: f"term {one()}",
+        lambda: f"hup {one()}", lambda: f"store {draw.choice(['down', 'refuse', 'slow', 'lost'])} for {draw.choice([1, 3, 5])}",
+        lambda: "store forget", lambda: f"cut-store {one()} for {draw.choice([2, 4])}", lambda: f"deaf-store {one()} for {draw.choice([2, 4])}",
+        lambda: f"silence {draw.choice(['all', one()])}", lambda: f"reset {draw.choice(['all', one()])}", lambda: f"cut-peers {one()} for 3",
+        lambda: f"delay-peers {one()} for 3", lambda: f"vm-crash {draw.randint(1, 4)} for {draw.choice([1, 3, 8])}",
+        lambda: f"vm-cut {draw.randint(1, 4)} for {draw.choice([2, 5, 12])}", lambda: f"vm-silence {draw.randint(1, 6)}",
+        lambda: f"vm-late {draw.randint(1, 6)} for 4", lambda: f"vm-fails {draw.randint(1, 3)} for 3",
+        lambda: f"drain {draw.randint(1, 3)} for 4", lambda: f"key {draw.choice(['blue', 'green'])}"]
+    at = 2.0
+    lines = []
+    for _ in range(draw.randint(3, 7)):
+        lines.append(f"at {at:.1f} {draw.choice(choices)()}")
+        at += draw.choice([0.1, 0.5, 1.5, 3.0])
+    return [f"load {at + 2:.1f}", *lines]
+
+
+def parse_scenario(lines):
+    load, faults = 8.0, []
+    for line in lines:
+        words = line.split("#")[0].split()
+        if not words:
+            continue
+        if words[0] == "load":
+            load = float(words[1])
+        elif words[0] == "at":
+            seconds = float(words[words.index("for") + 1]) if "for" in words else 0.0
+            faults.append((float(words[1]), words[2], words[3] if len(words) > 3 and words[3] != "for" else "", seconds))
+        else:
+            raise ValueError(f"unknown line: {line}")
+    return load, faults
+
+
+async def play(build, lines, seed, keep):
+    load, faults = parse_scenario(lines)
+    promises = Promises()
+    cell = deployment.Cell(build, promises, seed)
+    tasks = []
+    try:
+        await cell.open()
+        callers = Callers(cell, promises, seed, rate=8.0)
+        faulty = Faults(cell, promises, callers, seed)
+        promises.trouble(30.0)
+        await until_ready(cell)
+        promises.trouble_until = time.monotonic() + 1.0
+        began = time.monotonic()
+        tasks.append(asyncio.ensure_future(callers.balance()))
+
+        async def fault(at, verb, target, seconds):
+            await asyncio.sleep(max(0.0, began + at - time.monotonic()))
+            await faulty.carry_out(verb, target, seconds)
+
+        running = [asyncio.ensure_future(fault(*row)) for row in faults]
+        jobs = await callers.load(began + load)
+        await asyncio.gather(*running)
+        cell.heal()
+        _, late = await asyncio.wait(jobs, timeout=FINISH_S)
+        for job in late:
+            job.cancel()
+        for daemon in cell.daemons.values():
+            if daemon.exit_codes:
+                promises.broken("no process ends by itself", f"{daemon.name}: {daemon.exit_codes}")
+        for task in [*running, *jobs]:
+            if task.done() and not task.cancelled() and task.exception():
+                raise task.exception()
+        return promises.finish(), promises.counts, cell.folder
+    finally:
+        for task in tasks:
+            task.cancel()
+        await cell.close(keep)
+
+
+async def until_ready(cell):
+    end = time.monotonic() + 30.0
+    for daemon in cell.daemons.values():
+        while True:
+            answer = await Channel(daemon.readiness).call("GET", "/readiness", seconds=0.5)
+            if answer and answer[0] == 200:
+                break
+            if time.monotonic() > end:
+                raise RuntimeError(f"{daemon.name} is not ready in 30 s; its log is in {daemon.path('log')}")
+            await asyncio.sleep(0.1)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--build", required=True)
+    parser.add_argument("--keep", action="store_true", help="keep the daemons' logs")
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--count", type=int, default=1)
+    parser.add_argument("files", nargs="*")
+    options = parser.parse_args()
+    runs = []
+    for path in options.files:
+        with open(path, encoding="utf-8") as file:
+            runs.append((path, file.read().splitlines(), 1))
+    if options.seed is not None:
+        runs += [(f"seed {seed}", draw_scenario(seed), seed) for seed in range(options.seed, options.seed + options.count)]
+    failed = 0
+    for name, lines, seed in runs:
+        faults, counts, folder = asyncio.run(play(options.build, lines, seed, options.keep))
+        print(f"{name}: {'FAILED' if faults else 'held'}: {dict(counts)}", flush=True)
+        if faults:
+            failed += 1
+            print("\n".join(["  " + line for line in lines] + ["  " + fault for fault in faults[:20]]), flush=True)
+        if options.keep:
+            print("  logs:", folder, flush=True)
+    print(f"{len(runs) - failed} passed, {failed} failed", flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
