Commit through a write-ahead log: one transaction a commit, however many jobs changed

A commit wrote two keys a job, 29 keys a transaction, one transaction after another: with 60 or more changed jobs three round trips, and in a slow store seconds, while callers' patience is three. The owner also encoded a busy job up to 70 times a second, and went through up to 200 waiting steps each 10 ms.

Change: StateLog writes one record a commit; later commits carry values of records older than 64 commits over to their own keys with the entries that are left, and remove the records. Keys that come and go within the log never reach the table. Commits begin at least 20 ms apart, and passes over the backlog are 0.1 ms apart for each step that waits. The owner's record names the advertised address.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -3,6 +3,7 @@
 /// One desk lives as long as one ownership; a successor builds its own from the store.
 #pragma once
 
+#include "heatherchute/StateLog.h"
 #include "heatherchute/Support.h"
 #include "heatherchute/Work.h"
 
@@ -34,12 +35,6 @@
 /// Identifies a caller's pending call.
 using CallId = std::uint64_t;
 
-/// One key of the durable state; an empty value removes it.
-struct StateWrite {
-    std::string key;
-    std::string value;
-};
-
 /// A job as the store has it.
 struct StoredJob {
     std::string id;
@@ -352,7 +347,7 @@
     void noteFirstStart(Job& job);
 
     // State.cpp
-    void flush();
+    void flush(Now now);
     std::string encodeSubmission(const Job& job) const;
     std::string encodeProgress(const Job& job) const;
     bool restore(const StoredJob& stored, Now now);
@@ -440,6 +435,7 @@
     TimePoint m_peakAt;
     bool m_isTenured = true;
     bool m_commitInFlight = false;
+    TimePoint m_nextCommit;
     std::vector<AfterCommit> m_afterNext;
     std::vector<AfterCommit> m_afterInFlight;
     std::vector<Action> m_actions;
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -261,7 +261,7 @@
         beatVms(now);
     }
     forgetOldJobs(now);
-    flush();
+    flush(now);
 }
 
 } // namespace heatherchute::cell
--- a/lib/Cell/Placing.cpp
+++ b/lib/Cell/Placing.cpp
@@ -355,13 +355,15 @@
 {
     /// Without an event, for tickets that lapse and VMs that are trusted again.
     constexpr Milliseconds placeAnyway { 60 };
-    /// Between two passes, so that a busy cell spends its time on orders too.
+    /// Between two passes, and more for each step that waits, so that a long backlog, which a pass
+    /// goes through, leaves the daemon's time to orders: a pass takes up to 20 us a step.
     constexpr Milliseconds placePause { 10 };
+    constexpr std::chrono::microseconds pauseForStep { 100 };
     if (!m_policy || now.steady < m_nextPlace || (!m_placeWanted && now.steady < m_nextPlace + placeAnyway))
         return;
-    m_nextPlace = now.steady + placePause;
     m_placeWanted = false;
     auto steps = readySteps(now);
+    m_nextPlace = now.steady + placePause + pauseForStep * steps.size();
     auto rooms = measureRooms(steps, now);
     for (const auto& ready : steps) {
         auto& room = rooms[ready.queue ? ready.queue->service : ready.job->service];
--- a/lib/Cell/State.cpp
+++ b/lib/Cell/State.cpp
@@ -62,9 +62,12 @@
     return toBytes({ { "phase", static_cast<int>(job.phase) }, { "next", job.nextOccurrence }, { "done", job.doneOccurrences }, { "occurrences", std::move(occurrences) } });
 }
 
-void CellDesk::flush()
+void CellDesk::flush(Now now)
 {
-    if (m_commitInFlight)
+    /// Between the beginnings of two commits. Near the store one takes about as long by itself;
+    /// where it is shorter, more changes of the same job go into one.
+    constexpr Milliseconds commitPause { 20 };
+    if (m_commitInFlight || now.steady < m_nextCommit)
         return;
     if (m_dirty.empty() && m_forgotten.empty()) {
         // What waits only for state that is durable already follows at once.
@@ -96,6 +99,7 @@
     m_forgotten.clear();
     m_afterInFlight = std::exchange(m_afterNext, {});
     m_commitInFlight = true;
+    m_nextCommit = now.steady + commitPause;
     m_actions.emplace_back(std::move(commit));
 }
 
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -6,6 +6,7 @@
 #include "heatherchute/Election.h"
 #include "heatherchute/Metrics.h"
 #include "heatherchute/Node.h"
+#include "heatherchute/StateLog.h"
 
 namespace heatherchute {
 
@@ -189,6 +190,7 @@
     std::shared_ptr<std::atomic<bool>> m_tenureOver;
     std::unique_ptr<cell::CellDesk> m_desk;
     std::uint64_t m_headRevision = 0;
+    cell::StateLog m_stateLog;
     std::map<std::string, cell::VmReport> m_registry;
     bool m_isRegistryKnown = false;
 
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -122,7 +122,7 @@
 
 void NodeCore::run(const cell::ClaimCell& claim)
 {
-    cell::OwnerRecord record { m_settings.name, claim.nonce, addressText(m_settings.listenPeers), 0, 0 };
+    cell::OwnerRecord record { m_settings.name, claim.nonce, addressText(m_settings.advertisePeers), 0, 0 };
     const auto ttl = electionLease(m_settings);
     m_ports.outbound->run([this, claim, record, ttl]() mutable {
         const auto sentAt = Clock::now();
@@ -213,19 +213,19 @@
     }
 }
 
-/// Pairs the two halves of each job that a list of the store holds.
-static std::vector<cell::StoredJob> pairJobs(std::vector<platform::StoreItem> submissions, std::vector<platform::StoreItem> progress)
+/// Entries of one transaction beside the two conditions and the head.
+static constexpr std::size_t writesAtOnce = platform::StoreTransaction::maxEntries - 3;
+
+/// Pairs the two halves of each job that the state holds.
+static std::vector<cell::StoredJob> pairJobs(std::map<std::string, std::string> state)
 {
     std::map<std::string, cell::StoredJob> jobs;
-    for (auto& item : progress) {
-        auto id = item.key.substr(cell::progressPrefix.size());
-        jobs[id] = { id, {}, std::move(item.value) };
-    }
-    for (auto& item : submissions) {
-        auto id = item.key.substr(cell::submissionPrefix.size());
+    for (auto& [key, value] : state) {
+        const bool isSubmission = key.starts_with(cell::submissionPrefix);
+        const auto id = key.substr(isSubmission ? cell::submissionPrefix.size() : cell::progressPrefix.size());
         auto& job = jobs[id];
-        job.id = std::move(id);
-        job.submission = std::move(item.value);
+        job.id = id;
+        (isSubmission ? job.submission : job.progress) = std::move(value);
     }
     std::vector<cell::StoredJob> result;
     result.reserve(jobs.size());
@@ -234,6 +234,17 @@
     return result;
 }
 
+/// What the store holds under a prefix, added to `values`; false when it could not be read.
+static bool readPrefix(platform::StoreClient& store, const std::string& prefix, std::map<std::string, std::string>& values)
+{
+    auto list = store.list(prefix);
+    if (!list)
+        return false;
+    for (auto& item : list.value().items)
+        values[item.key] = std::move(item.value);
+    return true;
+}
+
 void NodeCore::loadCell()
 {
     m_ports.outbound->run([this, over = m_tenureOver, began = Clock::now()] {
@@ -241,17 +252,22 @@
         while (!over->load()) {
             auto& store = m_ports.outbound->store();
             const auto head = store.get(headKey);
-            auto submissions = store.list(cell::submissionPrefix);
-            auto progress = store.list(cell::progressPrefix);
-            if (!head || !submissions || !progress) {
+            std::map<std::string, std::string> state;
+            std::map<std::string, std::string> records;
+            const bool isRead = head && readPrefix(store, cell::submissionPrefix, state) && readPrefix(store, cell::progressPrefix, state) && readPrefix(store, cell::statelogPrefix, records);
+            if (!isRead) {
                 m_ports.outbound->sleep(backoff.next());
                 continue;
             }
             const auto headRevision = head.value() ? head.value()->revision : 0;
-            auto jobs = pairJobs(std::move(submissions.value().items), std::move(progress.value().items));
-            m_ports.outbound->report([this, over, headRevision, began, jobs = std::move(jobs)] {
+            cell::StateLog log({ writesAtOnce });
+            for (const auto& key : log.load(state, records))
+                logEvent(LogLevel::Error, "state_record_unreadable", { { "key", key } });
+            auto jobs = pairJobs(std::move(state));
+            m_ports.outbound->report([this, over, headRevision, began, log = std::move(log), jobs = std::move(jobs)]() mutable {
                 if (over->load())
                     return;
+                m_stateLog = std::move(log);
                 m_headRevision = headRevision;
                 cell::CellLimits limits;
                 limits.vmLease = vmLease(m_settings);
@@ -265,7 +281,7 @@
                 m_desk->load(jobs, now());
                 if (m_isRegistryKnown)
                     applyRegistry();
-                logEvent(LogLevel::Info, "cell_loaded", { { "jobs", jobs.size() }, { "took_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - began).count() } });
+                logEvent(LogLevel::Info, "cell_loaded", { { "jobs", jobs.size() }, { "log_records", m_stateLog.records() }, { "took_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - began).count() } });
                 m_ownedSince = Clock::now();
                 for (auto& [link, peer] : m_peers) {
                     if (peer.isOpen)
@@ -313,9 +329,6 @@
     });
 }
 
-/// Writes in one transaction beside the two conditions and the head.
-static constexpr std::size_t writesAtOnce = platform::StoreTransaction::maxEntries - 3;
-
 /// Writes one part of a commit until it is known to be done; nothing when the ownership is lost.
 static std::optional<std::uint64_t> commitPart(NodeOutbound& outbound, const platform::StoreTransaction& transaction, const std::string& nonce, const std::atomic<bool>& over)
 {
@@ -341,19 +354,16 @@
 void NodeCore::run(const cell::CommitState& commit)
 {
     m_metrics.count("commits", "all");
-    m_ports.outbound->run([this, over = m_tenureOver, writes = commit.writes, head = m_headRevision, fence = m_election.fencingToken()]() mutable {
+    m_ports.outbound->run([this, over = m_tenureOver, batches = m_stateLog.append(commit.writes), head = m_headRevision, fence = m_election.fencingToken()]() mutable {
         bool isDone = true;
-        for (std::size_t first = 0; first < writes.size() && isDone; first += writesAtOnce) {
+        for (auto batch = batches.begin(); batch != batches.end() && isDone; ++batch) {
             const auto nonce = randomToken(8);
             platform::StoreTransaction transaction;
             transaction.conditions = { { ownerKey, fence }, { headKey, head } };
             transaction.writes.push_back({ headKey, nonce, 0 });
-            for (std::size_t i = first; i < std::min(first + writesAtOnce, writes.size()); ++i) {
-                if (writes[i].value.empty())
-                    transaction.removals.push_back(writes[i].key);
-                else
-                    transaction.writes.push_back({ writes[i].key, std::move(writes[i].value), 0 });
-            }
+            for (auto& write : batch->writes)
+                transaction.writes.push_back({ std::move(write.key), std::move(write.value), 0 });
+            transaction.removals = std::move(batch->removals);
             const auto revision = commitPart(*m_ports.outbound, transaction, nonce, *over);
             isDone = revision.has_value();
             head = revision.value_or(head);
--- a/tools/cell-model/Deployments.cpp
+++ b/tools/cell-model/Deployments.cpp
@@ -62,7 +62,7 @@
 
 std::vector<std::string> modelDeployments()
 {
-    return { "workshop", "workshop-burst", "workshop-hot-team", "grown", "target" };
+    return { "workshop", "workshop-burst", "workshop-hot-team", "grown", "grown-burst", "target" };
 }
 
 ModelSettings modelDeployment(const std::string& name)
@@ -74,7 +74,7 @@
         settings.hotTeamFactor = 8;
         return settings;
     }
-    if (name == "grown") {
+    if (name == "grown" || name == "grown-burst") {
         // Seven times the VMs, three times the jobs, each of them wider and heavier.
         auto settings = workshop(2.6, 350, 2.5);
         settings.teams = 20;
@@ -85,6 +85,10 @@
         settings.queues[2].tasks = 3;
         settings.queues[2].cpuMilli = 9900;
         settings.load = Seconds(20);
+        if (name == "grown-burst") {
+            for (auto& queue : settings.queues)
+                queue.jobsPerSecond *= 1.6;
+        }
         return settings;
     }
     if (name == "target") {
