--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -217,15 +217,15 @@
 static constexpr std::size_t writesAtOnce = platform::StoreTransaction::maxEntries - 3;
 
 /// Pairs the two halves of each job that the state holds.
-static std::vector<cell::StoredJob> pairJobs(std::map<std::string, std::string> state)
+static std::vector<cell::StoredJob> pairJobs(const std::map<std::string, std::string>& state)
 {
     std::map<std::string, cell::StoredJob> jobs;
-    for (auto& [key, value] : state) {
+    for (const auto& [key, value] : state) {
         const bool isSubmission = key.starts_with(cell::submissionPrefix);
         const auto id = key.substr(isSubmission ? cell::submissionPrefix.size() : cell::progressPrefix.size());
         auto& job = jobs[id];
         job.id = id;
-        (isSubmission ? job.submission : job.progress) = std::move(value);
+        (isSubmission ? job.submission : job.progress) = value;
     }
     std::vector<cell::StoredJob> result;
     result.reserve(jobs.size());
@@ -263,7 +263,7 @@
             cell::StateLog log({ writesAtOnce });
             for (const auto& key : log.load(state, records))
                 logEvent(LogLevel::Error, "state_record_unreadable", { { "key", key } });
-            auto jobs = pairJobs(std::move(state));
+            auto jobs = pairJobs(state);
             m_ports.outbound->report([this, over, headRevision, began, log = std::move(log), jobs = std::move(jobs)]() mutable {
                 if (over->load())
                     return;
