--- a/lib/Cell/Advice.cpp
+++ b/lib/Cell/Advice.cpp
@@ -21,23 +21,14 @@
     constexpr double unknownShare = 0.4;
     /// The service takes at most this many in a call.
     constexpr std::size_t maxNamed = 100;
-    /// Between two asks for a step, and in times of what the service works on one: the service's
-    /// time is what asks take from other steps, so cheap ones may follow each other soon.
-    constexpr Milliseconds shortestAskPause { 20 };
-    constexpr int askPauseInCosts = 2;
-    /// After a look over all VMs that found none worth asking about.
-    constexpr Milliseconds vainLookPause { 50 };
+    /// After an ask that did not lead to a start.
+    constexpr Milliseconds askPause { 300 };
     auto& advice = ready.step->advice;
     Room whole;
     for (std::size_t i = 0; i < ready.waiting.size(); ++i)
         whole += ready.spec->need;
-    const auto hasTicket = [&](const std::string& vm) {
-        const auto permission = advice.allowed.find(vm);
-        return permission != advice.allowed.end() && permission->second.validUntil > now.steady;
-    };
     const bool hasTickets = std::any_of(advice.allowed.begin(), advice.allowed.end(), [&](const auto& entry) { return entry.second.validUntil > now.steady; });
-    const bool isCounted = advice.asking || hasTickets;
-    if (isCounted)
+    if (advice.asking || hasTickets)
         room.free -= whole;
     if (advice.asking || now.steady < advice.nextAsk)
         return;
@@ -53,32 +44,19 @@
     const auto share = std::max(0.05, known == m_adviceShare.end() ? unknownShare : known->second);
     std::vector<Vm*> vms;
     double expected = 0;
-    std::size_t ticketSlots = 0;
     for (auto* const vm : room.usable) {
         const auto slots = slotsOn(*vm, ready);
-        // Only a gang needs all its tickets at the same time, and so renews those that it has.
-        if (!ready.spec->gang && hasTicket(vm->report.id)) {
-            ticketSlots += slots;
-            continue;
-        }
         const bool isAskable = mayRun(*vm, ready) && !isHeldFromOthers(*vm, ready, room) && (slots > 0 || (ready.spec->gang && !isKnown(vm)));
         if (!isAskable)
             continue;
         vms.push_back(vm);
         expected += static_cast<double>(slots) * (isKnown(vm) ? 1.0 : share);
     }
-    // Where tickets are enough, something else keeps the step waiting.
-    if (ticketSlots >= ready.waiting.size()) {
-        advice.nextAsk = now.steady + vainLookPause;
-        return;
-    }
-    const auto needed = static_cast<double>(ready.waiting.size() - ticketSlots);
+    const auto needed = static_cast<double>(ready.waiting.size());
     const bool isAllAsked = std::all_of(vms.begin(), vms.end(), isKnown);
     // Tickets for a gang that does not fit now would lapse; those that teach something are asked for.
-    if (vms.empty() || (ready.spec->gang && expected < needed && isAllAsked)) {
-        advice.nextAsk = now.steady + vainLookPause;
+    if (vms.empty() || (ready.spec->gang && expected < needed && isAllAsked))
         return;
-    }
     // Known VMs first, then those with more room; among equals a choice of each step's own.
     using Rank = std::tuple<bool, std::int64_t, std::uint64_t>;
     std::vector<std::pair<Rank, Vm*>> ranked;
@@ -104,9 +82,8 @@
     const auto& costs = *ready.queue->advice;
     ask.cost = costs.base + Milliseconds(std::lround(costs.perVmMs * static_cast<double>(ask.vms.size())));
     advice.asking = true;
-    advice.nextAsk = now.steady + std::max(shortestAskPause, ask.cost * askPauseInCosts);
-    if (!isCounted)
-        room.free -= whole;
+    advice.nextAsk = now.steady + askPause;
+    room.free -= whole;
     m_actions.emplace_back(std::move(ask));
 }
 
@@ -129,12 +106,11 @@
             advice->allowed[vmId] = { ticket, vm->second.incarnation, now.steady + answer.validity - ticketMargin };
     }
     advice->denied.merge(denied);
+    // Without a VM with room among the allowed ones the rest is asked about soon.
+    advice->nextAsk = now.steady + (answer.allowed->empty() ? Milliseconds(0) : answer.validity / 2);
     /// Weight of one answer in the running mean.
     constexpr double weight = 0.1;
     if (const auto* const owner = job(answer.step.job); owner && !answer.asked.empty()) {
-        // Another ask renews all tickets of a gang, which is worth it only as they grow old.
-        if (owner->spec->steps.at(answer.step.step).gang && !answer.allowed->empty())
-            advice->nextAsk = std::max(advice->nextAsk, now.steady + answer.validity / 2);
         const auto share = static_cast<double>(answer.allowed->size()) / static_cast<double>(answer.asked.size());
         const auto [mean, isNew] = m_adviceShare.try_emplace(owner->queue, share);
         mean->second += weight * (share - mean->second);
