Soak: daemons end with the soak that started them

Cause: a soak ended by a signal left its daemons running, seen when a test run was stopped by hand.

Change: the daemons get SIGKILL when their parent dies.

--- a/test/cell/cell.py
+++ b/test/cell/cell.py
@@ -1,6 +1,7 @@
 """One deployment on loopback: the platform's stand-ins in this process, daemons as processes."""
 
 import asyncio
+import ctypes
 import json
 import os
 import shutil
@@ -26,6 +27,12 @@
 TEAMS = {"blue": 0, "green": 0, "red": 12000}
 
 
+def end_with_parent():
+    """A soak that is killed leaves no daemon behind."""
+    PR_SET_PDEATHSIG = 1
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Daemon:
     """One process with proxies on its paths: callers, peers and store."""
 
@@ -63,7 +70,7 @@
         self.planned_stop = None
         with open(self.path("log"), "a", encoding="utf-8") as log:
             command = [os.path.join(self.cell.build, "tools", "heatherchuted"), "--settings", self.path("json")]
-            self.process = subprocess.Popen(command, stdout=log, stderr=log)
+            self.process = subprocess.Popen(command, stdout=log, stderr=log, preexec_fn=end_with_parent)
 
     def signal(self, number):
         if self.process and self.process.poll() is None:
