Soak: drop what nothing reads

Cause: a last reading of the soak found state that nothing reads (whether a daemon is frozen, a cell without advice, a recorder in the advice service), imports inside functions, and a line in take_port that packs a recursion and a side effect into one expression.

Change: the dead state goes, the advice service is a function, take_port is a loop.

Ruled out as worth a mend: the pairs of alike lines in messages, model settings and test tables, which are rows of data and not logic.

--- a/test/cell/cell.py
+++ b/test/cell/cell.py
@@ -1,18 +1,20 @@
 """One deployment on loopback: the platform's stand-ins in this process, daemons as processes."""
 
 import asyncio
+import base64
 import ctypes
 import json
 import os
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
 
 from loopback import HttpServer, Proxy
 from store import Store
-from vms import Advice, Gangs, Vm
+from vms import Gangs, Vm, advise
 
 # Bounds that the daemons' settings state, in seconds.
 GRACE_S = 6.0
@@ -41,7 +43,6 @@
         self.name = name
         self.zone = zone
         self.process = None
-        self.frozen = False
         # The port for peers is behind a proxy, so the daemons tell each other the proxy's address.
         self.peers = Proxy(("127.0.0.1", cell.take_port()))
         self.callers = Proxy(("127.0.0.1", cell.take_port()))
@@ -58,7 +59,7 @@
             "listen_callers": "127.0.0.1:%d" % self.callers.target[1], "listen_readiness": "127.0.0.1:%d" % self.readiness[1],
             "listen_peers": "127.0.0.1:%d" % self.peers.target[1], "advertise_peers": f"127.0.0.1:{self.peers.port}",
             "store": f"127.0.0.1:{self.store.port}",
-            "advice": f"127.0.0.1:{self.cell.advice_server.port}" if self.cell.with_advice else "",
+            "advice": f"127.0.0.1:{self.cell.advice_server.port}",
             "shortest_store_lease_ms": 1000, "longest_vm_lease_ms": 10000, "grace_s": GRACE_S, "job_retention_s": STATUS_S}
         with open(self.path("json"), "w", encoding="utf-8") as file:
             json.dump(settings, file)
@@ -77,11 +78,9 @@
             self.process.send_signal(number)
 
     def freeze(self):
-        self.frozen = True
         self.signal(signal.SIGSTOP)
 
     def thaw(self):
-        self.frozen = False
         self.signal(signal.SIGCONT)
 
     def kill(self):
@@ -100,21 +99,19 @@
         code = self.process.returncode
         if code not in (-signal.SIGKILL, 0) or (code == 0 and not self.planned_stop):
             self.exit_codes.append(code)
-        self.frozen = False
         self.start()
 
 
 class Cell:
-    def __init__(self, build, record, seed, daemons=6, vms=12, with_advice=True):
+    def __init__(self, build, record, seed, daemons=6, vms=12):
         self.build = build
         self.record = record
         self.seed = seed
-        self.with_advice = with_advice
         self.counts = (daemons, vms)
         self.folder = tempfile.mkdtemp(prefix="heatherchute-cell-")
         self.store = Store(seed)
         self.store_server = HttpServer(self.store.handle)
-        self.advice_server = HttpServer(Advice(record).handle)
+        self.advice_server = HttpServer(advise)
         self.gangs = Gangs()
         self.vms = {}
         self.vm_proxies = {}
@@ -128,11 +125,13 @@
 
     def take_port(self):
         """A port that is free now. It is bound again soon, before others are likely to take it."""
-        import socket
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        return self.take_port() if port in self.ports else self.ports.append(port) or port
+        while True:
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                port = probe.getsockname()[1]
+            if port not in self.ports:
+                self.ports.append(port)
+                return port
 
     async def open(self):
         daemons, vms = self.counts
@@ -165,7 +164,7 @@
             "version": self.version,
             "routes": [{"name": name, "host": "cell.example", "path_prefix": f"/{name}/", "service": "workers", "priority": priority,
                         "max_attempts": MAX_ATTEMPTS, "stretch": 2.0, "target_latency_ms": 1000,
-                        **({"hint": {"decide_ms": 5.0, "per_worker_ms": 0.2, "validity_ms": 1500}} if self.with_advice else {})}
+                        "hint": {"decide_ms": 5.0, "per_worker_ms": 0.2, "validity_ms": 1500}}
                        for name, priority in self.routes.items()],
             "services": [{"name": "workers", "max_connections": 64, "preconditions": False}],
             "tenants": [{"name": team, "api_keys": [key], "weight": 20, "upper_limit": {"cpu": TEAMS[team], "mem_mb": 0, "gpu": 0}}
@@ -194,7 +193,6 @@
 
     def owner(self):
         """The daemon that the owner's record names; None when there is no record."""
-        import base64
         item = self.store.items.get("heatherchute/cell/owner")
         return self.daemons.get(json.loads(base64.b64decode(item["value"]))["daemon"]) if item else None
 
--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -12,6 +12,7 @@
 import asyncio
 import json
 import random
+import signal
 import sys
 import time
 
@@ -173,7 +174,6 @@
         self.daemon(target).terminate()
 
     def do_hup(self, target):
-        import signal
         self.daemon(target).signal(signal.SIGHUP)
 
     def do_freeze(self, target):
--- a/test/cell/vms.py
+++ b/test/cell/vms.py
@@ -231,17 +231,12 @@
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": running, "finished": self.ended[:500]}
 
 
-class Advice:
-    """Allows each step a fixed part of the VMs, one call at a time."""
-
-    def __init__(self, record):
-        self.record = record
-
-    async def handle(self, request):
-        body = request.json()
-        await asyncio.sleep(0.005 + 0.0002 * len(body["workers"]))
-        allowed = [worker for worker in body["workers"] if is_allowed(body["step"], worker)]
-        return 200, {"allowed": [[worker, "ticket-" + worker] for worker in allowed], "validity_ms": 1500}
+async def advise(request):
+    """The advice service: allows each step a fixed part of the VMs."""
+    body = request.json()
+    await asyncio.sleep(0.005 + 0.0002 * len(body["workers"]))
+    allowed = [worker for worker in body["workers"] if is_allowed(body["step"], worker)]
+    return 200, {"allowed": [[worker, "ticket-" + worker] for worker in allowed], "validity_ms": 1500}
 
 
 def is_allowed(step, worker):
