Logs are written on a thread of their own

Cause: every decision's line was written to standard output by the thread that decided, so a reader that stopped reading stopped the daemon with it: a pipe takes 64 KB, less than half a second of a busy owner.

Ruled out: glog's own buffering (FLAGS_logbuflevel) delays lines and still writes on the caller's thread; a non-blocking standard output is shared with whoever else holds it.

Change: LogWriter takes finished lines into a bounded ring and writes what comes within 20 ms at once. Beyond the ring lines are left out and counted in a line of their own, after the older ones. The daemon of a cell waits up to 200 ms for its reader when it ends. The older daemon and the stand-ins write as before.

Conclusion: a lagging reader costs lines, never decisions. A process that is killed loses up to 20 ms.

--- a/include/heatherchute/Runtime.h
+++ b/include/heatherchute/Runtime.h
@@ -11,6 +11,7 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/future.hpp>
 #include <boost/system/error_code.hpp>
+#include <condition_variable>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -128,6 +129,41 @@
     std::atomic<bool> m_scheduled { false };
 };
 
+/// Writes log lines on a thread of its own, so that a reader of standard output that lags holds up
+/// nothing else. Lines beyond its ring are left out and counted in a line of their own.
+class LogWriter {
+public:
+    /// Gets one or more whole lines, and may wait.
+    using Output = std::function<void(const std::string&)>;
+
+    explicit LogWriter(Output output);
+    LogWriter(const LogWriter&) = delete;
+    LogWriter& operator=(const LogWriter&) = delete;
+    /// Writes what is left, however long the reader takes.
+    ~LogWriter();
+
+    /// Never waits.
+    void push(std::string line);
+    /// Waits until all lines are written, at most so long; false when some were not.
+    bool flush(Milliseconds longest);
+
+private:
+    void run();
+    void writeAll();
+
+    Output m_output;
+    Ring<std::string> m_lines;
+    std::atomic<std::uint64_t> m_pushed { 0 };
+    std::atomic<std::uint64_t> m_dropped { 0 };
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_hasLines = false;
+    bool m_isUrgent = false;
+    bool m_isStopping = false;
+    std::uint64_t m_written = 0;
+    std::thread m_thread;
+};
+
 /// Result of one asynchronous operation.
 struct IoResult {
     boost::system::error_code error;
--- a/include/heatherchute/Support.h
+++ b/include/heatherchute/Support.h
@@ -6,6 +6,7 @@
 #include <boost/outcome/std_result.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <span>
@@ -212,5 +213,12 @@
 /// Logs one line: `event` is a short fixed name, `fields` an object with ids (request, job,
 /// team, failure_domain, vm) and figures.
 void logEvent(LogLevel level, std::string_view event, Json fields = Json::object());
+/// Takes the finished lines instead of standard output; none: they are written at once. Set it
+/// while no other thread logs.
+void setLogSink(std::function<void(std::string)> sink);
+/// Writes lines, without a line feed after the last one, to standard output. May wait for a reader.
+void writeLogLines(const std::string& lines);
+/// A line as logEvent writes it, not counted against any bound.
+std::string logLine(LogLevel level, std::string_view event, Json fields);
 
 } // namespace heatherchute
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -10,6 +10,10 @@
 
 int runNode(const NodeSettings& settings, const std::function<CheckedNodeSettings()>& reload)
 {
+    /// How long the end of the process waits for whoever reads the log.
+    constexpr Milliseconds flushTime { 200 };
+    LogWriter log(writeLogLines);
+    setLogSink([&log](std::string line) { log.push(std::move(line)); });
     NodeCore core(settings);
     const CorePost toCore = [&core](Closure& closure) { return core.post(closure); };
     NodeOutbound outbound(settings, toCore);
@@ -43,6 +47,7 @@
     });
     logEvent(LogLevel::Info, "started", { { "name", settings.name }, { "failure_domain", settings.failureDomain }, { "callers", addressText(settings.listenCallers) }, { "peers", addressText(settings.listenPeers) }, { "store", addressText(settings.store) } });
     const auto code = exitCode.get_future().get();
+    log.flush(flushTime);
     // Threads and fibers are left as they are: all that had to be answered or kept has been.
     std::_Exit(code);
 }
--- a/lib/Support/Log.cpp
+++ b/lib/Support/Log.cpp
@@ -66,6 +66,32 @@
 
 } // namespace
 
+static std::function<void(std::string)>& logSink()
+{
+    static std::function<void(std::string)> sink;
+    return sink;
+}
+
+void setLogSink(std::function<void(std::string)> sink)
+{
+    logSink() = std::move(sink);
+}
+
+void writeLogLines(const std::string& lines)
+{
+    // The level stands in the lines; glog's own would only choose a file.
+    LOG(INFO) << lines;
+}
+
+std::string logLine(LogLevel level, std::string_view event, Json fields)
+{
+    const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
+    fields["time_ms"] = std::chrono::duration_cast<Milliseconds>(wallTime).count();
+    fields["level"] = levelName(level);
+    fields["event"] = event;
+    return fields.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 void logEvent(LogLevel level, std::string_view event, Json fields)
 {
     static LineBudget budget;
@@ -74,22 +100,11 @@
         return;
     if (*suppressed > 0)
         fields["suppressed"] = *suppressed;
-    const auto wallTime = std::chrono::system_clock::now().time_since_epoch();
-    fields["time_ms"] = std::chrono::duration_cast<Milliseconds>(wallTime).count();
-    fields["level"] = levelName(level);
-    fields["event"] = event;
-    const auto line = fields.dump(-1, ' ', false, Json::error_handler_t::replace);
-    switch (level) {
-    case LogLevel::Info:
-        LOG(INFO) << line;
-        return;
-    case LogLevel::Warning:
-        LOG(WARNING) << line;
-        return;
-    case LogLevel::Error:
-        LOG(ERROR) << line;
-        return;
-    }
+    auto line = logLine(level, event, std::move(fields));
+    if (const auto& sink = logSink())
+        sink(std::move(line));
+    else
+        writeLogLines(line);
 }
 
 ParsedJson parseJsonWithComments(std::string_view text)
