--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -3,6 +3,7 @@
 /// One desk lives as long as one ownership; a successor builds its own from the store.
 #pragma once
 
+#include "heatherchute/AdviceLanes.h"
 #include "heatherchute/StateLog.h"
 #include "heatherchute/Support.h"
 #include "heatherchute/Work.h"
@@ -284,33 +285,6 @@
     std::int64_t reservedCpuMilli = 0;
 };
 
-/// The advice service takes the calls of each daemon one at a time, so asks are spread over the
-/// daemons. Pure; the times that calls take are estimates until they are answered.
-class AdviceLanes {
-public:
-    /// Daemons that can ask. Calls through one that is gone are forgotten.
-    void setDaemons(const std::vector<std::uint64_t>& daemons);
-    /// Daemon that is to ask now; none while all that may take such a call are busy for long, so
-    /// that an ask is made from what is known then, and not behind others that wait.
-    std::optional<std::uint64_t> take(Milliseconds cost, TimePoint now);
-    bool canTake(Milliseconds cost, TimePoint now) const { return bestFor(cost, now) != nullptr; }
-    /// The call is over.
-    void giveBack(std::uint64_t daemon, TimePoint now);
-
-private:
-    struct Lane {
-        std::uint64_t daemon = 0;
-        /// By when the service should be through with its calls.
-        TimePoint until;
-        std::size_t calls = 0;
-        /// Short calls only.
-        bool isShort = false;
-    };
-    const Lane* bestFor(Milliseconds cost, TimePoint now) const;
-
-    std::vector<Lane> m_lanes;
-};
-
 class CellDesk {
 public:
     /// `inheritedLeaseEnd`: by then every lease that an earlier owner gave has run out.
@@ -384,6 +358,12 @@
 
     // State.cpp
     void flush(Now now);
+    /// A commit has been on its way for so long that the store seems to be away.
+    bool isStoreSilent(Now now) const;
+    /// Answers the submissions that no commit holds, and forgets their jobs.
+    void refuseUnwritten(Now now);
+    void withdraw(const std::string& id);
+    void refuseSubmission(CallId call, const Job& job, Now now);
     std::string encodeSubmission(const Job& job) const;
     std::string encodeProgress(const Job& job) const;
     bool restore(const StoredJob& stored, Now now);
@@ -483,6 +463,7 @@
     bool m_isTenured = true;
     bool m_commitInFlight = false;
     TimePoint m_nextCommit;
+    TimePoint m_commitBeganAt;
     std::vector<AfterCommit> m_afterNext;
     std::vector<AfterCommit> m_afterInFlight;
     std::vector<Action> m_actions;
--- a/lib/Cell/AdviceLanes.cpp
+++ b/lib/Cell/AdviceLanes.cpp
@@ -1,4 +1,4 @@
-#include "heatherchute/Cell.h"
+#include "heatherchute/AdviceLanes.h"
 
 #include <algorithm>
 
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -53,8 +53,10 @@
     job.acceptedUnixMs = now.unixMs;
     job.acceptedAt = now.steady;
     job.chain = chainOf(*job.spec);
-    job.isExcess = takesExcess(team, now);
     job.workCpuMs = workOf(*job.spec);
+    if (isStoreSilent(now))
+        return refuseSubmission(call, job, now);
+    job.isExcess = takesExcess(team, now);
     /// Past this many times its objective a job earns nothing, so a caller had better come back.
     constexpr int lateFactor = 3;
     const auto objective = policy->target + std::chrono::duration_cast<Milliseconds>(job.chain * policy->stretch);
@@ -261,6 +263,7 @@
         beatVms(now);
     }
     forgetOldJobs(now);
+    refuseUnwritten(now);
     flush(now);
 }
 
--- a/lib/Cell/State.cpp
+++ b/lib/Cell/State.cpp
@@ -99,10 +99,74 @@
     m_forgotten.clear();
     m_afterInFlight = std::exchange(m_afterNext, {});
     m_commitInFlight = true;
+    m_commitBeganAt = now.steady;
     m_nextCommit = now.steady + commitPause;
     m_actions.emplace_back(std::move(commit));
 }
 
+/// When a caller whose job cannot be written now should come back: outages of a store take seconds,
+/// and callers that come back at different times do not meet it all at once.
+static Seconds retryAfterOutage(const std::string& job)
+{
+    constexpr Seconds shortest { 1 };
+    constexpr std::uint64_t spread = 2;
+    return shortest + Seconds(stableHash(job) % spread);
+}
+
+bool CellDesk::isStoreSilent(Now now) const
+{
+    /// Calls of the store take milliseconds, and some hundreds where it is slow.
+    constexpr Milliseconds longestCommit { 1000 };
+    return m_commitInFlight && now.steady - m_commitBeganAt > longestCommit;
+}
+
+void CellDesk::refuseSubmission(CallId call, const Job& job, Now now)
+{
+    const auto retryAfter = retryAfterOutage(job.id);
+    m_actions.emplace_back(Decision { "submission_refused", { { "job", job.id }, { "queue", job.queue }, { "team", job.team }, { "why", "store_silent" }, { "silent_ms", std::chrono::duration_cast<Milliseconds>(now.steady - m_commitBeganAt).count() }, { "retry_after_s", retryAfter.count() } } });
+    m_actions.emplace_back(AnswerCall { call, ErrorKind::StoreUnavailable, retryAfter });
+}
+
+void CellDesk::withdraw(const std::string& id)
+{
+    auto& job = m_jobs.at(id);
+    std::vector<TaskId> placed;
+    for (auto it = m_placements.lower_bound({ id, 0, 0, 0 }); it != m_placements.end() && it->first.job == id; ++it)
+        placed.push_back(it->first);
+    // None of them is recorded, so none has been ordered.
+    for (const auto& task : placed)
+        release(task);
+    m_openCpuMs -= job.workCpuMs;
+    m_active.erase(id);
+    m_scheduled.erase(id);
+    m_dirty.erase(id);
+    m_jobs.erase(id);
+}
+
+void CellDesk::refuseUnwritten(Now now)
+{
+    if (m_afterNext.empty() || !isStoreSilent(now))
+        return;
+    std::set<std::string> inFlight;
+    for (const auto& after : m_afterInFlight)
+        inFlight.insert(after.job);
+    std::set<std::string> refused;
+    std::erase_if(m_afterNext, [&](const AfterCommit& after) {
+        const auto* const known = after.job.empty() ? nullptr : job(after.job);
+        // What a commit on its way holds may be done already.
+        const bool isUnwritten = known && !known->isDurable && !isFinal(known->phase) && !inFlight.contains(after.job);
+        if (!isUnwritten)
+            return false;
+        // All that follows the write goes with it: the job may be handed in again by then.
+        if (after.answer)
+            refuseSubmission(after.answer->call, *known, now);
+        refused.insert(after.job);
+        return true;
+    });
+    for (const auto& id : refused)
+        withdraw(id);
+}
+
 void CellDesk::onCommitted(Now now)
 {
     m_commitInFlight = false;
--- a/lib/Runtime/LogWriter.cpp
+++ b/lib/Runtime/LogWriter.cpp
@@ -8,8 +8,8 @@
 static constexpr std::size_t maxLines = 8192;
 /// Lines that come this close together are written at once; what a killed process loses.
 static constexpr Milliseconds gatherTime { 20 };
-/// Most that is written at once. glog cuts messages at 30,000 bytes.
-static constexpr std::size_t maxBatchBytes = 24'000;
+/// Most that is written at once: a pipe takes so much whole, and longer writes may be cut.
+static constexpr std::size_t maxBatchBytes = 4096 - 1;
 
 LogWriter::LogWriter(Output output)
     : m_output(std::move(output))
--- a/tools/cell-model/CellModel.cpp
+++ b/tools/cell-model/CellModel.cpp
@@ -152,6 +152,7 @@
             return;
         if (m_desk) {
             m_calls[m_nextCall] = id;
+            ++known.openCalls;
             m_desk->submit(m_nextCall++, id, known.queue->policy.name, known.team, known.spec, m_clock.deskTime());
             pump();
         }
@@ -261,6 +262,8 @@
 {
     m_desk.reset();
     ++m_owner;
+    for (auto& [id, job] : m_jobs)
+        job.isUnsure = job.isUnsure || std::exchange(job.openCalls, 0) > 0;
     const auto gone = m_owner;
     m_clock.after(Milliseconds(std::llround(m_dice.around(1500, 0.5))), [this, gone] {
         if (m_owner == gone)
@@ -344,9 +347,12 @@
 void World::answered(const AnswerCall& answer)
 {
     auto& job = m_jobs.at(m_calls.at(answer.call));
+    const bool isCancel = m_cancels.contains(answer.call);
+    if (!isCancel && job.openCalls > 0)
+        --job.openCalls;
     if (answer.error != ErrorKind::None)
         return;
-    if (m_cancels.contains(answer.call))
+    if (isCancel)
         job.cancelAcknowledged = m_clock.now();
     else
         job.isAccepted = true;
--- a/tools/cell-model/Judge.cpp
+++ b/tools/cell-model/Judge.cpp
@@ -8,6 +8,8 @@
     const auto job = m_jobs.find(order.task.job);
     if (job == m_jobs.end())
         return broken("start of " + name + ", which nobody handed in");
+    if (!job->second.isAccepted && !job->second.isUnsure && job->second.openCalls == 0)
+        broken("start of " + name + ", whose submissions were all refused");
     const auto& step = job->second.spec.steps.at(order.task.step);
     const auto& task = job->second.tasks.at(order.task);
     if (!(vm.used() + step.need).fitsIn(vm.report.capacity))
--- a/tools/cell-model/World.h
+++ b/tools/cell-model/World.h
@@ -104,6 +104,9 @@
     TimePoint handedIn;
     std::optional<TimePoint> cancelAcknowledged;
     bool isAccepted = false;
+    /// Submissions without an answer yet, and whether one will never get any.
+    std::uint32_t openCalls = 0;
+    bool isUnsure = false;
     bool isOver = false;
     bool hasStarted = false;
     double chainMs = 0;
--- a/unittests/Cell/CellModelTest.cpp
+++ b/unittests/Cell/CellModelTest.cpp
@@ -76,6 +76,47 @@
     }
 }
 
+TEST_CASE("While the store is away submissions are refused at once, and truly")
+{
+    CellDesk desk({}, TimePoint());
+    auto policy = std::make_shared<CellPolicy>();
+    policy->version = 1;
+    QueuePolicy queue;
+    queue.name = "queue";
+    queue.service = "workers";
+    policy->queues.push_back(queue);
+    policy->teams.push_back({ "team", { "key" }, 100, {} });
+    desk.setPolicy(policy);
+    JobSpec spec;
+    spec.payload = "work";
+    spec.steps.resize(1);
+    spec.steps[0].tasks = 1;
+    Now now { TimePoint(Seconds(100)), 1'700'000'000'000 };
+    const auto submit = [&](CallId call, const std::string& id, Milliseconds after) {
+        now.steady += after;
+        desk.submit(call, id, "queue", "team", spec, now);
+        desk.advance(now);
+        std::map<CallId, ErrorKind> answers;
+        for (const auto& action : desk.takeActions()) {
+            if (const auto* const answer = std::get_if<AnswerCall>(&action))
+                answers[answer->call] = answer->error;
+        }
+        return answers;
+    };
+    // The first is in a commit that gets no answer, so what becomes of it is not known.
+    CHECK(submit(1, "0000000000000001", Milliseconds(0)).empty());
+    CHECK(submit(2, "0000000000000002", Milliseconds(500)).empty());
+    const std::map<CallId, ErrorKind> both { { 2, ErrorKind::StoreUnavailable }, { 3, ErrorKind::StoreUnavailable } };
+    CHECK(submit(3, "0000000000000003", Milliseconds(600)) == both);
+    CHECK(desk.query("0000000000000001"));
+    CHECK_FALSE(desk.query("0000000000000002"));
+    CHECK_FALSE(desk.query("0000000000000003"));
+    // A repeated submission of the one that may be stored waits for the commit.
+    CHECK(submit(4, "0000000000000001", Milliseconds(10)).empty());
+    desk.onCommitted(now);
+    CHECK(submit(5, "0000000000000002", Milliseconds(10)) == std::map<CallId, ErrorKind> { { 1, ErrorKind::None } });
+}
+
 TEST_CASE("Nothing runs twice, too early, or over a limit, whatever fails")
 {
     CHECK(rc::check("rough days", [](std::uint16_t seed) {
