Lab: the same load for every build, beside first come first served with first fit

`--first-fit` plays them first come first served with first fit as well: without faults, store, leases or calls for advice, knowing at once where each step may run. The lab prints the 99th percentile of a pass. The prefix of the write-ahead log is spelled like its neighbours.

--- a/include/heatherchute/StateLog.h
+++ b/include/heatherchute/StateLog.h
@@ -38,7 +38,7 @@
 };
 
 /// Prefix of the records' keys.
-extern const std::string statelogPrefix;
+extern const std::string stateLogPrefix;
 
 class StateLog {
 public:
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -254,7 +254,7 @@
             const auto head = store.get(headKey);
             std::map<std::string, std::string> state;
             std::map<std::string, std::string> records;
-            const bool isRead = head && readPrefix(store, cell::submissionPrefix, state) && readPrefix(store, cell::progressPrefix, state) && readPrefix(store, cell::statelogPrefix, records);
+            const bool isRead = head && readPrefix(store, cell::submissionPrefix, state) && readPrefix(store, cell::progressPrefix, state) && readPrefix(store, cell::stateLogPrefix, records);
             if (!isRead) {
                 m_ports.outbound->sleep(backoff.next());
                 continue;
--- a/lib/StateLog/StateLog.cpp
+++ b/lib/StateLog/StateLog.cpp
@@ -5,7 +5,7 @@
 
 namespace heatherchute::cell {
 
-const std::string statelogPrefix = "heatherchute/log/";
+const std::string stateLogPrefix = "heatherchute/log/";
 
 /// Digits of a record's number, so that keys sort as numbers do.
 static constexpr std::size_t numberDigits = 16;
@@ -13,13 +13,13 @@
 static std::string recordKey(std::uint64_t number)
 {
     auto digits = std::to_string(number);
-    return statelogPrefix + std::string(numberDigits - std::min(numberDigits, digits.size()), '0') + digits;
+    return stateLogPrefix + std::string(numberDigits - std::min(numberDigits, digits.size()), '0') + digits;
 }
 
 static std::optional<std::uint64_t> recordNumber(const std::string& key)
 {
     std::uint64_t number = 0;
-    const auto* const begin = key.data() + std::min(statelogPrefix.size(), key.size());
+    const auto* const begin = key.data() + std::min(stateLogPrefix.size(), key.size());
     const auto* const end = key.data() + key.size();
     const auto parsed = std::from_chars(begin, end, number);
     return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(number) : std::nullopt;
--- a/tools/cell-model/CellModel.cpp
+++ b/tools/cell-model/CellModel.cpp
@@ -1,6 +1,7 @@
 #include "World.h"
 
 #include <iostream>
+#include <numeric>
 
 namespace heatherchute::cell {
 
@@ -25,8 +26,6 @@
     , m_dice(settings.seed)
     , m_loadEnd(m_clock.now() + settings.load)
 {
-    for (const auto& queue : settings.queues)
-        m_arrivals.emplace(queue.policy.name, ModelDice(settings.seed + stableHash(queue.policy.name)));
 }
 
 void World::broken(const std::string& text)
@@ -42,24 +41,6 @@
         std::cout << m_clock.milliseconds() << " owner " << m_owner << ' ' << what << ' ' << text << '\n';
 }
 
-void World::makeVms()
-{
-    for (std::uint32_t i = 0; i < m_settings.vms; ++i) {
-        ModelVm vm;
-        vm.report.id = "vm-" + std::to_string(i);
-        vm.report.service = "workers";
-        vm.report.address = { "127.0.0.1", static_cast<std::uint16_t>(1000 + i) };
-        vm.report.failureDomain = "d" + std::to_string(i % m_settings.failureDomains);
-        vm.report.capacity = m_settings.vmCapacity;
-        vm.report.rack = "r" + std::to_string(i % m_settings.failureDomains) + "-" + std::to_string(i / m_settings.vmsPerRack);
-        vm.report.labels = { i % 2 ? "a" : "b", vm.report.rack };
-        vm.report.incarnation = 1 + i;
-        vm.speed = i % 3 == 2 ? m_settings.slowFactor : 1;
-        vm.bornAt = m_clock.now() - Milliseconds(100 * i);
-        m_vms.emplace(vm.report.id, vm);
-    }
-}
-
 void World::makePolicy()
 {
     auto policy = std::make_shared<CellPolicy>();
@@ -78,72 +59,9 @@
     m_policy = policy;
 }
 
-bool World::isAllowed(const std::string& step, const std::string& vm, double share)
-{
-    return static_cast<double>(stableHash(step + vm) % 1000) < share * 1000;
-}
-
-std::uint32_t World::slotsFor(const std::string& job, int step, const Room& need, double share) const
-{
-    std::int64_t slots = 0;
-    for (const auto& [id, vm] : m_vms) {
-        if (isAllowed(stepText({ job, 0, static_cast<std::uint32_t>(step), 0 }), id, share))
-            slots += std::min(vm.report.capacity.cpuMilli / need.cpuMilli, vm.report.capacity.memoryMb / need.memoryMb);
-    }
-    return static_cast<std::uint32_t>(slots);
-}
-
-JobSpec World::makeSpec(const ModelQueue& queue, ModelJob& job, ModelDice& dice)
-{
-    JobSpec spec;
-    spec.payload = "work";
-    const auto steps = std::max(1, static_cast<int>(std::lround(dice.around(queue.steps, 0.4))));
-    for (int s = 0; s < std::min(steps, 4); ++s) {
-        StepSpec step;
-        step.tasks = std::clamp(static_cast<std::uint32_t>(std::lround(dice.around(queue.tasks, 0.8))), 1U, queue.maxTasks);
-        step.need = { std::max<std::int64_t>(100, std::llround(dice.around(queue.cpuMilli, 0.4))), std::max<std::int64_t>(10, std::llround(dice.around(queue.memoryMb, 0.5))), 0 };
-        step.need.cpuMilli = std::min(step.need.cpuMilli, m_settings.vmCapacity.cpuMilli / 2);
-        step.need.memoryMb = std::min(step.need.memoryMb, m_settings.vmCapacity.memoryMb / 3);
-        step.gang = dice.uniform() < queue.gangShare;
-        // Half of the slots that advice leaves, since VMs may be lost for good.
-        step.tasks = std::clamp(step.tasks, 1U, std::max(1U, slotsFor(job.id, s, step.need, queue.allowedShare) / 2));
-        step.checkpointing = dice.uniform() < queue.checkpointShare;
-        step.maxTasksPerVm = dice.uniform() < queue.spreadShare && step.tasks < m_settings.vms / 6 ? 1 : 0;
-        if (s > 0)
-            step.after = { static_cast<std::uint32_t>(s - 1) };
-        double longest = 0;
-        const auto common = std::min(dice.around(queue.runMs, 0.5), queue.runMs * 2.5);
-        for (std::uint32_t i = 0; i < step.tasks; ++i) {
-            const auto runMs = step.gang ? common : std::max(20.0, dice.around(common, 0.15));
-            job.tasks[{ job.id, 0, static_cast<std::uint32_t>(s), i }] = { runMs, 0, false, false };
-            longest = std::max(longest, runMs);
-            job.coreSeconds += runMs / 1000 * static_cast<double>(step.need.cpuMilli) / 1000;
-        }
-        step.estimateMs = std::llround(common * (1 + queue.estimateError * (2 * dice.uniform() - 1)));
-        job.chainMs += longest;
-        spec.steps.push_back(step);
-    }
-    return spec;
-}
-
-void World::submit(const ModelQueue& queue)
+void World::handIn(const std::string& id)
 {
-    auto& dice = m_arrivals.at(queue.policy.name);
-    ModelJob job;
-    job.id = [&] {
-        std::string id;
-        for (int i = 0; i < 16; ++i)
-            id.push_back("0123456789abcdef"[dice.next() % 16]);
-        return id;
-    }();
-    job.queue = &queue;
-    const auto hot = m_settings.hotTeamFactor / (m_settings.hotTeamFactor + m_settings.teams - 1);
-    const auto team = dice.uniform() < hot ? 0 : 1 + dice.next() % std::max(1U, m_settings.teams - 1);
-    job.team = "team-" + std::to_string(std::min<std::uint64_t>(team, m_settings.teams - 1));
-    job.handedIn = m_clock.now();
-    job.spec = makeSpec(queue, job, dice);
-    const auto id = job.id;
-    m_jobs.emplace(id, std::move(job));
+    m_jobs.at(id).handedIn = m_clock.now();
     auto* const tries = keep<std::function<void(int)>>();
     // A caller without an owner in reach, or without an answer, asks again.
     *tries = [this, id, tries](int left) {
@@ -159,8 +77,8 @@
         m_clock.after(Milliseconds(700), [tries, left] { (*tries)(left - 1); });
     };
     (*tries)(200);
-    if (dice.uniform() < m_settings.faults.cancelledJobs) {
-        m_clock.after(Milliseconds(static_cast<std::int64_t>(dice.around(1500, 0.8))), [this, id] {
+    if (const auto patience = m_jobs.at(id).cancelAfter) {
+        m_clock.after(*patience, [this, id] {
             if (!m_desk || !m_jobs.at(id).isAccepted)
                 return;
             m_calls[m_nextCall] = id;
@@ -173,16 +91,10 @@
 
 void World::scheduleArrivals()
 {
-    for (const auto& queue : m_settings.queues) {
-        auto* const next = keep<std::function<void()>>();
-        *next = [this, &queue, next] {
-            if (m_clock.now() >= m_loadEnd)
-                return;
-            submit(queue);
-            const auto gap = -std::log(1 - m_arrivals.at(queue.policy.name).uniform()) / queue.jobsPerSecond;
-            m_clock.after(Milliseconds(std::max<std::int64_t>(1, std::llround(gap * 1000))), [next] { (*next)(); });
-        };
-        m_clock.after(Milliseconds(1500), [next] { (*next)(); });
+    for (auto& job : drawJobs(m_settings, m_vms)) {
+        const auto id = job.id;
+        m_clock.after(job.arrival, [this, id] { handIn(id); });
+        m_jobs.emplace(id, std::move(job));
     }
 }
 
@@ -294,8 +206,7 @@
         const auto began = Clock::now();
         m_desk->advance(m_clock.deskTime());
         const auto tookUs = std::chrono::duration<double, std::micro>(Clock::now() - began).count();
-        m_passUs += tookUs;
-        ++m_passes;
+        m_passUs.push_back(static_cast<float>(tookUs));
         m_result.longestPassUs = std::max(m_result.longestPassUs, tookUs);
         const auto owner = m_owner;
         for (const auto& action : m_desk->takeActions()) {
@@ -378,7 +289,7 @@
 
 ModelResult World::play()
 {
-    makeVms();
+    m_vms = makeVms(m_settings, m_clock.now());
     makePolicy();
     for (std::uint32_t i = 0; i < m_settings.daemons; ++i)
         m_adviceUntil.emplace(i, TimePoint());
@@ -406,7 +317,12 @@
             broken("job " + id + " of " + job.queue->policy.name + " was accepted and is not over");
         }
     }
-    m_result.meanPassUs = m_passes > 0 ? m_passUs / static_cast<double>(m_passes) : 0;
+    if (!m_passUs.empty()) {
+        m_result.meanPassUs = std::accumulate(m_passUs.begin(), m_passUs.end(), 0.0) / static_cast<double>(m_passUs.size());
+        const auto nearLast = m_passUs.begin() + static_cast<std::ptrdiff_t>(m_passUs.size() * 99 / 100);
+        std::nth_element(m_passUs.begin(), nearLast, m_passUs.end());
+        m_result.passP99Us = *nearLast;
+    }
     return m_result;
 }
 
--- a/tools/cell-model/CellModel.h
+++ b/tools/cell-model/CellModel.h
@@ -96,13 +96,16 @@
     std::uint64_t unfinished = 0;
     /// What must never happen, in words; empty when all held.
     std::vector<std::string> broken;
-    /// Longest and mean time of one pass of the desk, in microseconds.
+    /// Time of one pass of the desk, in microseconds: the longest, the mean, and what 99 of 100 keep.
     double longestPassUs = 0;
     double meanPassUs = 0;
+    double passP99Us = 0;
 };
 
 /// Plays one day.
 ModelResult playModel(const ModelSettings& settings);
+/// Plays the same load without faults, served first come first served with first fit.
+ModelResult playFirstFit(const ModelSettings& settings);
 
 /// The deployments of today and the target of two years, calm.
 std::vector<std::string> modelDeployments();
--- a/tools/cell-model/Judge.cpp
+++ b/tools/cell-model/Judge.cpp
@@ -69,21 +69,7 @@
                 break;
             }
         }
-        const auto took = std::chrono::duration<double, std::milli>(m_clock.now() - job.handedIn).count();
-        const auto objective = job.queue->policy.stretch * job.chainMs + static_cast<double>(job.queue->policy.target.count());
-        const auto mean = job.queue->steps * job.queue->tasks * job.queue->runMs / 1000 * job.queue->cpuMilli / 1000;
-        const auto worth = std::min(4.0, 0.3 + 0.7 * job.coreSeconds / mean) * job.queue->worth;
-        ++result.jobs;
-        ++m_result.teams[job.team].jobs;
-        m_result.teams[job.team].inObjective += took <= objective ? 1 : 0;
-        result.worthOwed += worth;
-        if (took <= objective) {
-            ++result.inObjective;
-            result.worthEarned += worth;
-        } else if (took <= 3 * objective) {
-            ++result.late;
-            result.worthEarned += worth / 5;
-        }
+        countJob(job, std::chrono::duration_cast<Milliseconds>(m_clock.now() - job.handedIn), m_result);
     }
 }
 
--- a/tools/cell-model/ModelVms.cpp
+++ b/tools/cell-model/ModelVms.cpp
@@ -45,16 +45,9 @@
     return StartAnswer::Started;
 }
 
-bool World::fails(const TaskId& task, std::uint32_t run) const
-{
-    constexpr std::uint64_t parts = 100'000;
-    const auto drawn = stableHash(taskText(task) + "/" + std::to_string(run) + "/" + std::to_string(m_settings.seed)) % parts;
-    return static_cast<double>(drawn) < m_settings.faults.failedRuns * static_cast<double>(parts);
-}
-
 void World::beginRun(ModelVm& vm, const TaskId& task, std::uint32_t run, double runMs)
 {
-    const bool isFailing = fails(task, run);
+    const bool isFailing = failsByItself(m_settings, task, run);
     m_clock.after(Milliseconds(std::llround(isFailing ? runMs / 2 : runMs)), [this, &vm, task, run, isFailing] {
         const auto found = vm.running.find(task);
         if (vm.isUp && found != vm.running.end() && found->second.run == run)
@@ -76,7 +69,7 @@
     if (gang.members.size() < m_jobs.at(task.job).spec.steps.at(task.step).tasks)
         return;
     gang.isWorking = true;
-    const bool isFailing = fails(task, run);
+    const bool isFailing = failsByItself(m_settings, task, run);
     m_clock.after(Milliseconds(std::llround(isFailing ? runMs / 2 : runMs)), [this, key, &vm, task, run, isFailing] {
         const auto found = vm.running.find(task);
         if (!vm.isUp || found == vm.running.end() || found->second.run != run)
--- a/tools/cell-model/World.h
+++ b/tools/cell-model/World.h
@@ -101,6 +101,9 @@
     const ModelQueue* queue = nullptr;
     std::string team;
     JobSpec spec;
+    /// After the beginning of the day.
+    Milliseconds arrival { 0 };
+    std::optional<Milliseconds> cancelAfter;
     TimePoint handedIn;
     std::optional<TimePoint> cancelAcknowledged;
     bool isAccepted = false;
@@ -116,6 +119,16 @@
     std::map<TaskId, ModelTask> tasks;
 };
 
+// Load.cpp: what a day brings, the same whoever decides.
+
+std::map<std::string, ModelVm> makeVms(const ModelSettings& settings, TimePoint now);
+std::vector<ModelJob> drawJobs(const ModelSettings& settings, const std::map<std::string, ModelVm>& vms);
+/// Whether advice lets the step run on the VM.
+bool isAllowed(const std::string& step, const std::string& vm, double share);
+bool failsByItself(const ModelSettings& settings, const TaskId& task, std::uint32_t run);
+/// Adds a job that is done to the result.
+void countJob(const ModelJob& job, Milliseconds took, ModelResult& result);
+
 /// One day: the owner, what surrounds it, and the judge of both.
 class World {
 public:
@@ -131,14 +144,10 @@
         m_kept.push_back(kept);
         return kept.get();
     }
-    void makeVms();
     void makePolicy();
     void scheduleArrivals();
+    void handIn(const std::string& id);
     void scheduleFaults();
-    void submit(const ModelQueue& queue);
-    JobSpec makeSpec(const ModelQueue& queue, ModelJob& job, ModelDice& dice);
-    static bool isAllowed(const std::string& step, const std::string& vm, double share);
-    std::uint32_t slotsFor(const std::string& job, int step, const Room& need, double share) const;
     void beginOwner();
     void changeOwner();
     void pump();
@@ -169,7 +178,6 @@
     void trace(std::string_view what, const std::string& text);
     void updateRegistry();
 
-    bool fails(const TaskId& task, std::uint32_t run) const;
     Milliseconds wire() { return Milliseconds(std::max<std::int64_t>(1, std::llround(m_dice.around(static_cast<double>(m_settings.networkDelay.count()), 0.3)))); }
     void repeat(double meanSeconds, std::function<void()> fault);
 
@@ -177,8 +185,6 @@
     ModelSettings m_settings;
     /// Of the network and the faults.
     ModelDice m_dice;
-    /// Of what each queue gets.
-    std::map<std::string, ModelDice> m_arrivals;
     ModelClock m_clock;
     TimePoint m_loadEnd;
     std::map<std::string, ModelVm> m_vms;
@@ -198,8 +204,8 @@
     std::map<std::uint64_t, TimePoint> m_adviceUntil;
     bool m_pumpWanted = false;
     ModelResult m_result;
-    double m_passUs = 0;
-    std::uint64_t m_passes = 0;
+    /// One entry for each pass.
+    std::vector<float> m_passUs;
 };
 
 } // namespace heatherchute::cell
--- a/tools/heatherchute-lab/main.cpp
+++ b/tools/heatherchute-lab/main.cpp
@@ -24,7 +24,7 @@
 void print(const std::string& name, std::uint64_t seed, const ModelResult& result)
 {
     std::cout << name << ", seed " << seed << ": " << result.starts << " starts, " << result.commits << " commits, " << result.adviceCalls << " advice calls, "
-              << result.wastedRuns << " runs not done; pass mean " << std::fixed << std::setprecision(0) << result.meanPassUs << " us, longest " << result.longestPassUs << " us\n";
+              << result.wastedRuns << " runs not done; pass mean " << std::fixed << std::setprecision(0) << result.meanPassUs << " us, p99 " << result.passP99Us << " us, longest " << result.longestPassUs << " us\n";
     for (const auto& [queue, row] : result.queues) {
         std::cout << "  " << std::left << std::setw(10) << queue << std::right << " jobs " << std::setw(6) << row.jobs << "  in objective " << std::setprecision(3)
                   << (row.jobs ? static_cast<double>(row.inObjective) / static_cast<double>(row.jobs) : 0) << "  worth " << (row.worthOwed > 0 ? row.worthEarned / row.worthOwed : 0)
@@ -49,6 +49,7 @@
     add("seeds", options::value(&seeds)->default_value(1), "number of seeds");
     std::string trace;
     add("trace", options::value(&trace), "prints the decisions that name this text, such as a job's id");
+    add("first-fit", "plays the same load first come first served with first fit as well, without faults");
     add("faults", "crashes, cuts, new owners, outages, late orders and lost answers");
     options::variables_map values;
     try {
@@ -78,6 +79,8 @@
             const auto result = playModel(settings);
             isSound = isSound && result.broken.empty();
             print(name, settings.seed, result);
+            if (values.count("first-fit"))
+                print(name + " by first fit", settings.seed, playFirstFit(settings));
         }
     }
     return isSound ? 0 : 1;
--- a/unittests/StateLog/StateLogTest.cpp
+++ b/unittests/StateLog/StateLogTest.cpp
@@ -26,7 +26,7 @@
         std::map<std::string, std::string> table;
         std::map<std::string, std::string> records;
         for (const auto& [key, value] : items)
-            (key.starts_with(statelogPrefix) ? records : table)[key] = value;
+            (key.starts_with(stateLogPrefix) ? records : table)[key] = value;
         CHECK(log.load(table, records).empty());
         return table;
     }
