--- a/tools/cell-model/Deployments.cpp
+++ b/tools/cell-model/Deployments.cpp
@@ -93,15 +93,16 @@
         return settings;
     }
     if (name == "target") {
-        // 2,100 VMs, about 190 starts a second and 21,000 tasks at once: tasks of two minutes.
-        auto settings = workshop(1, 2100, 1);
+        // 2,100 VMs, 190 starts a second, and some 20,000 tasks at once by the end of the load: tasks
+        // of minutes.
+        auto settings = workshop(1.22, 2100, 1);
         settings.failureDomains = 13;
         settings.teams = 200;
         settings.daemons = 210;
         for (auto& queue : settings.queues)
-            queue.runMs *= 30;
-        settings.load = Seconds(60);
-        settings.longestTail = Seconds(1200);
+            queue.runMs *= 60;
+        settings.load = Seconds(150);
+        settings.longestTail = Seconds(3600);
         return settings;
     }
     return workshop(1, 48, 1);
