Lab: first fit's placing of a step returns nothing

Cause: its result was read nowhere, found on reading the whole change. Ruled out: a use that was forgotten; place() goes through all jobs whatever one of them got. Change: void.

--- a/tools/cell-model/FirstFit.cpp
+++ b/tools/cell-model/FirstFit.cpp
@@ -32,7 +32,7 @@
 
         void open(Row& row, std::uint32_t step);
         void place();
-        bool placeStep(Row& row);
+        void placeStep(Row& row);
         ModelVm* fit(const Row& row, const StepSpec& spec, const std::map<std::string, std::uint32_t>& planned);
         void begin(Row& row, std::uint32_t index, ModelVm& vm, double speed, std::uint32_t run);
         void finish(Row& row, std::uint32_t step);
@@ -114,7 +114,7 @@
         countJob(row.job, std::chrono::duration_cast<Milliseconds>(m_clock.now() - row.handedIn), m_result);
     }
 
-    bool FirstFit::placeStep(Row& row)
+    void FirstFit::placeStep(Row& row)
     {
         const auto& spec = row.job.spec.steps[row.waiting->step];
         std::map<std::string, std::uint32_t> planned;
@@ -127,7 +127,7 @@
             chosen.push_back(vm);
         }
         if (chosen.empty() || (spec.gang && chosen.size() < spec.tasks))
-            return false;
+            return;
         // The slowest VM holds up a gang.
         double gangSpeed = 1;
         for (const auto* const vm : chosen)
@@ -139,7 +139,6 @@
         tasks.erase(tasks.begin(), tasks.begin() + static_cast<std::ptrdiff_t>(chosen.size()));
         if (tasks.empty())
             row.waiting.reset();
-        return true;
     }
 
     void FirstFit::place()
