HttpServer: a taken port names its address, close() completes in a fiber; the lease is checked before queued events

Cause: (1) HttpServer let boost::system::system_error through, which main() does not catch; the daemon aborted. (2) HttpServer::close set a fiber promise from the dispatcher's context, which cannot wait for the promise's lock, and the promise lived on the stack of the thread that returns as soon as it is set. (3) NodeCore::runPass used the ownership state of the last timer tick: after a pause of the process, events that were queued before the timer acted on a lease that had run out meanwhile. Change: the constructor throws std::system_error with the address; runNode opens all listeners before the core starts and ends with status 2; close() runs in a fiber that shares the promise; runPass checks the lease first.

--- a/include/heatherchute/Node.h
+++ b/include/heatherchute/Node.h
@@ -43,8 +43,8 @@
 };
 CheckedNodeSettings parseNodeSettings(const Json& value);
 
-/// Runs the daemon until it has stopped after a stop signal, then ends the process. Throws
-/// std::system_error when a listener cannot be opened. `reload` reads the settings again after SIGHUP.
+/// Runs the daemon until it has stopped after a stop signal, then ends the process. Ends it with status
+/// 2 when a listener cannot be opened. `reload` reads the settings again after SIGHUP.
 int runNode(const NodeSettings& settings, const std::function<CheckedNodeSettings()>& reload);
 
 } // namespace heatherchute
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -224,13 +224,18 @@
     : m_state(std::make_shared<State>(eventLoop, std::move(settings), std::move(handler)))
 {
     const auto& listen = m_state->settings.listen;
-    const tcp::endpoint endpoint(asio::ip::make_address(listen.host), listen.port);
     auto& acceptor = m_state->acceptor;
-    acceptor.open(endpoint.protocol());
-    acceptor.set_option(asio::socket_base::reuse_address(true));
-    acceptor.bind(endpoint);
-    acceptor.listen();
-    m_state->boundPort = acceptor.local_endpoint().port();
+    try {
+        const tcp::endpoint endpoint(asio::ip::make_address(listen.host), listen.port);
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(asio::socket_base::reuse_address(true));
+        acceptor.bind(endpoint);
+        acceptor.listen();
+        m_state->boundPort = acceptor.local_endpoint().port();
+    } catch (const boost::system::system_error& failure) {
+        // The library's own exception type is unknown outside lib/Http.
+        throw std::system_error(failure.code(), "cannot listen for HTTP on " + addressText(listen));
+    }
     eventLoop.spawn([state = m_state] { acceptLoop(state); });
 }
 
@@ -253,15 +258,17 @@
 
 void HttpServer::close()
 {
-    boost::fibers::promise<void> done;
-    auto closed = done.get_future();
-    asio::post(m_state->eventLoop.io(), [state = m_state, &done] {
+    // Completed in a fiber: the lock of the promise may be contended, and only a fiber can wait for it.
+    // The fiber shares the promise, because the waiting thread returns as soon as the value is set.
+    const auto done = std::make_shared<boost::fibers::promise<void>>();
+    auto closed = done->get_future();
+    m_state->eventLoop.spawn([state = m_state, done] {
         state->closed.store(true);
         boost::system::error_code ignored;
         state->acceptor.close(ignored);
         for (auto* stream : state->streams)
             stream->cancel();
-        done.set_value();
+        done->set_value();
     });
     closed.wait();
 }
--- a/lib/Node/Core.cpp
+++ b/lib/Node/Core.cpp
@@ -93,9 +93,8 @@
     return { Clock::now(), std::chrono::duration_cast<Milliseconds>(unixTime).count() };
 }
 
-void NodeCore::start(NodeComponents components)
+void NodeCore::start()
 {
-    m_components = std::move(components);
     Closure begin = [this] {
         watchPolicy();
         watchOwner();
@@ -123,6 +122,9 @@
 
 void NodeCore::runPass()
 {
+    // After a pause of the process, queued events come before the timer's: the lease must have been
+    // checked against the current time before anything acts on it.
+    m_election.tick(Clock::now());
     runElection();
     if (m_scheduler) {
         m_scheduler->setTenured(m_election.tenure() == cell::Tenure::Owner);
@@ -138,7 +140,6 @@
 
 void NodeCore::tick()
 {
-    m_election.tick(Clock::now());
     expireRequests();
     expireAdviceRequests();
     expireCommands();
@@ -167,10 +168,6 @@
     m_policy = std::move(policy);
     if (m_scheduler)
         m_scheduler->setPolicy(m_policy);
-    for (auto& [link, peer] : m_peers) {
-        if (peer.isOpen && peer.hello.policyVersion < m_policy->version)
-            m_components.links->send(link, PeerPolicy { m_policyText });
-    }
     schedulePass();
 }
 
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -17,7 +17,7 @@
 /// Time after a claim within which every VM lease granted by an earlier owner has expired.
 Milliseconds inheritedLease(const NodeSettings& settings);
 
-/// The other components of the daemon; set before the core handles its first event.
+/// The other components of the daemon.
 struct NodeComponents {
     NodeOutbound* outbound = nullptr;
     NodeLinks* links = nullptr;
@@ -32,7 +32,9 @@
     NodeCore& operator=(const NodeCore&) = delete;
 
     bool post(Closure& closure) { return m_inbox.push(closure); }
-    void start(NodeComponents components);
+    /// Sets the other components. Must precede start() and every event that they post.
+    void connect(NodeComponents components) { m_components = std::move(components); }
+    void start();
 
     // Called by NodeFront.
     void onRequest(std::uint64_t id, platform::CallerCall request, const std::string& body);
@@ -66,6 +68,8 @@
         PeerHello hello;
         TimePoint lastHeard;
         TimePoint lastHello;
+        /// Since when the peer is known to have an older policy; unset if it has the same or a newer one.
+        std::optional<TimePoint> policyLagsSince;
     };
 
     /// Where the scheduler's response to a request goes: over `link`, or to a client of this daemon
@@ -119,6 +123,8 @@
     void maintainLinks();
     void sendHello(LinkId link, Peer& peer);
     void handle(LinkId link, const PeerHello& hello);
+    /// Sends the policy to a peer that still has an older one after the time that the store takes.
+    void sendPolicyIfLagging(LinkId link, Peer& peer);
     void handle(LinkId link, const PeerPolicy& policy);
     void handle(LinkId link, const OwnerRequest& request);
     void handle(LinkId link, const OwnerResponse& reply);
--- a/lib/Node/Node.cpp
+++ b/lib/Node/Node.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <future>
+#include <iostream>
 #include <sys/resource.h>
 
 namespace heatherchute {
@@ -12,6 +13,8 @@
 {
     /// Maximum time that the end of the process is delayed to write the remaining log lines.
     constexpr Milliseconds flushTimeout { 200 };
+    /// Exit status of a daemon that could not start.
+    constexpr int startFailureStatus = 2;
     LogWriter log(writeLogLines);
     setLogSink([&log](std::string line) { log.push(std::move(line)); });
     NodeCore core(settings);
@@ -31,9 +34,18 @@
                                    if (!exiting.exchange(true))
                                        exitCode.set_value(code);
                                } };
-    links.open(settings.listenPeers);
-    core.start(std::move(components));
-    front.open(settings);
+    core.connect(std::move(components));
+    try {
+        links.open(settings.listenPeers);
+        front.open(settings);
+    } catch (const std::system_error& failure) {
+        logEvent(LogLevel::Error, "start_failed", { { "name", settings.name }, { "reason", failure.what() } });
+        std::cerr << "heatherchuted: " << failure.what() << '\n';
+        log.flush(flushTimeout);
+        // The threads of the components are running already, so the stack is not unwound.
+        std::_Exit(startFailureStatus);
+    }
+    core.start();
     handleStopSignals(front.eventLoop(), [&](int count) {
         Closure closure = [&core, count] { core.onStopSignal(count); };
         toCore(closure);
--- a/unittests/Http/HttpTest.cpp
+++ b/unittests/Http/HttpTest.cpp
@@ -93,6 +93,29 @@
     }
 }
 
+TEST_CASE("a server closes from another thread while its event loop completes the request", "[http]")
+{
+    // The completion of close() once ran outside any fiber, where a contended lock ended the process.
+    Duty serverLoop { "server" };
+    for (int i = 0; i < 2000; ++i) {
+        HttpServer server(serverLoop, ClientServerPair::settings(), [](HttpRequest&&) { return HttpResponse {}; });
+        REQUIRE(server.port() != 0);
+        server.close();
+    }
+}
+
+TEST_CASE("a server whose port is taken reports the address", "[http]")
+{
+    Duty loop { "server" };
+    HttpServer first(loop, ClientServerPair::settings(), [](HttpRequest&&) { return HttpResponse {}; });
+    auto settings = ClientServerPair::settings();
+    settings.listen.port = first.port();
+    const auto open = [&] { HttpServer(loop, settings, [](HttpRequest&&) { return HttpResponse {}; }); };
+    CHECK_THROWS_AS(open(), std::system_error);
+    CHECK_THROWS_WITH(open(), Catch::Contains(addressText(settings.listen)));
+    first.close();
+}
+
 TEST_CASE("a request body over the limit is rejected, not truncated", "[http]")
 {
     ClientServerPair pair([](HttpRequest&&) { return HttpResponse {}; });
