RequestDesk: expired calls leave the queue before any of them ends

Cause: tick() listed the expired calls and ended them one by one. Ending one that holds quota runs pump(), which could dispatch a later call of the list; the loop then reported that call as not run. Change: all expired calls are dequeued first. Measured: the new case of RoutingTests fails before (a DispatchCall for a call that then ends with DeadlineBeforeRun) and passes after.

--- a/lib/Routing/RequestDesk.cpp
+++ b/lib/Routing/RequestDesk.cpp
@@ -310,8 +310,11 @@
             }
         }
     }
+    // All expired calls leave the queue first: ending one may release quota and dispatch queued calls.
+    for (const auto id : expired)
+        dequeue(m_calls.at(id));
     for (const auto id : expired) {
-        auto& call = m_calls[id];
+        auto& call = m_calls.at(id);
         const bool isOverLimit = !call.hasQuota && !call.serviceCall.relayed;
         endCall(call, isOverLimit ? ErrorKind::OverLimit : ErrorKind::DeadlineBeforeRun, {}, now, actions);
     }
--- a/unittests/Routing/RoutingTest.cpp
+++ b/unittests/Routing/RoutingTest.cpp
@@ -1,6 +1,7 @@
 #include "heatherchute/Routing.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 namespace heatherchute {
 
@@ -108,6 +109,28 @@
     CHECK(fixture.takeActions<DispatchCall>().size() == 1);
 }
 
+TEST_CASE("calls that expire together are not dispatched by each other's quota", "[routing]")
+{
+    // Ending an expired call with quota dispatched the next expired call, which was then reported as not run.
+    Fixture fixture(1, 1);
+    fixture.arrive(1, "u");
+    fixture.arrive(2, "t", false, Milliseconds(100));
+    fixture.arrive(3, "t", false, Milliseconds(100));
+    fixture.arrive(4, "t", false, Milliseconds(100));
+    const auto running = fixture.takeActions<DispatchCall>();
+    REQUIRE(running.size() == 1);
+    fixture.vms.returnSlot(running[0].slot.vm, SlotEnd::Answered, Milliseconds(5), fixture.now, fixture.vmActions);
+    fixture.now += Milliseconds(200);
+    fixture.router.tick(fixture.now, fixture.actions);
+    std::set<std::uint64_t> ended;
+    for (const auto& action : fixture.actions) {
+        if (const auto* const end = std::get_if<CallEnded>(&action))
+            ended.insert(end->call);
+        CHECK_FALSE(std::holds_alternative<DispatchCall>(action));
+    }
+    CHECK(ended == std::set<std::uint64_t> { 2, 3, 4 });
+}
+
 TEST_CASE("a request that was not run is retried on another VM", "[routing]")
 {
     Fixture fixture;
