Adapter: every number from outside is checked against the bounds of its field

Cause: about ten integers were cast to 32 bits unchecked: two steps with a count of 2^31 passed the bound of 5,000 tasks, an "after" of 2^32 named step 0; doubles past 64 bits were rounded; a port of 0 was taken; an id from a registry key went into a header as it was. Change: ObjectReader takes a range for each number and reports a field outside of it; ids of VMs are checked; rows that cannot be read are logged by type and size; objectives are bounded where they are computed; a job has at most 100 unfinished occurrences, so that a schedule in the past does not fill the memory. Ruled out: rejecting large but plausible figures of operators; the bounds are years, 10^12 of a resource, 10^6 of a count.

--- a/include/heatherchute/Work.h
+++ b/include/heatherchute/Work.h
@@ -81,6 +81,9 @@
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(JobSpec, payload, steps, occurrences, firstDueMs, intervalMs)
 
+/// Returns true if every step depends on earlier steps only.
+bool hasValidOrder(const JobSpec& spec);
+
 /// Estimated run time of the job's critical path: the longest sequence of dependent steps.
 Milliseconds chainOf(const JobSpec& spec);
 
@@ -112,6 +115,10 @@
     bool open = false;
 };
 
+/// Latency objective of a job with this critical path; bounded, so that the objective and small multiples
+/// of it can be added to a time.
+Milliseconds objectiveOf(const QueuePolicy& queue, Milliseconds criticalPath);
+
 /// Operators' policy for a service.
 struct ServicePolicy {
     std::string name;
@@ -164,6 +171,8 @@
     std::int64_t incarnation = 0;
     /// Time after the start during which the VM is slow.
     Milliseconds warmup { 0 };
+
+    friend bool operator==(const VmReport&, const VmReport&) = default;
 };
 
 /// Identifies a task by its job, the occurrence of the job's schedule, the step, and the task's
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -60,7 +60,7 @@
     /// A job that takes longer than this multiple of its objective has no value, so the client should
     /// rather retry later.
     constexpr int lateFactor = 3;
-    const auto objective = policy->target + std::chrono::duration_cast<Milliseconds>(job.criticalPath * policy->stretch);
+    const auto objective = objectiveOf(*policy, job.criticalPath);
     if (job.isAboveTeamRate && backlog() > objective * lateFactor) {
         const auto wait = std::chrono::ceil<Seconds>(backlog() - objective);
         m_actions.emplace_back(Decision { "submission_refused", { { "job", id }, { "queue", queue }, { "team", team }, { "why", "beyond_rate" }, { "backlog_ms", backlog().count() }, { "objective_ms", objective.count() } } });
@@ -155,8 +155,10 @@
 
 void CellDesk::createDueOccurrences(Job& job, Now now)
 {
+    /// Maximum number of unfinished occurrences of a job; the next ones wait, even if they are due.
+    constexpr std::uint32_t maxOverlap = 100;
     const auto total = std::max<std::uint32_t>(1, job.spec->occurrences);
-    while (job.nextOccurrence < total) {
+    while (job.nextOccurrence < total && job.nextOccurrence - job.completedOccurrences < maxOverlap) {
         const auto dueMs = job.spec->firstDueMs + job.nextOccurrence * job.spec->intervalMs;
         if (job.spec->occurrences > 0 && now.unixMs + m_limits.earlyStartTolerance.count() < dueMs)
             return;
--- a/lib/Cell/Placing.cpp
+++ b/lib/Cell/Placing.cpp
@@ -75,7 +75,7 @@
         if (isFinal(ownerJob->phase))
             continue;
         const auto* const queue = policyOf(*ownerJob);
-        const auto objective = queue ? queue->target + std::chrono::duration_cast<Milliseconds>(ownerJob->criticalPath * queue->stretch) : Milliseconds(0);
+        const auto objective = queue ? objectiveOf(*queue, ownerJob->criticalPath) : Milliseconds(0);
         for (const auto& [number, occurrence] : ownerJob->occurrences) {
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
                 if (isReadyToStart(*ownerJob, occurrence, s, now))
--- a/lib/Work/Work.cpp
+++ b/lib/Work/Work.cpp
@@ -21,6 +21,14 @@
     return *this;
 }
 
+Milliseconds objectiveOf(const QueuePolicy& queue, Milliseconds criticalPath)
+{
+    /// Thirty years.
+    constexpr double longestObjectiveMs = 1e12;
+    const auto objective = static_cast<double>(queue.target.count()) + static_cast<double>(criticalPath.count()) * queue.stretch;
+    return Milliseconds(static_cast<std::int64_t>(std::min(objective, longestObjectiveMs)));
+}
+
 const QueuePolicy* CellPolicy::findQueue(std::string_view name) const
 {
     const auto found = std::find_if(queues.begin(), queues.end(), [name](const auto& queue) { return queue.name == name; });
@@ -54,6 +62,16 @@
     return nullptr;
 }
 
+bool hasValidOrder(const JobSpec& spec)
+{
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        const auto& after = spec.steps[i].after;
+        if (std::any_of(after.begin(), after.end(), [i](auto earlier) { return earlier >= i; }))
+            return false;
+    }
+    return true;
+}
+
 Milliseconds chainOf(const JobSpec& spec)
 {
     std::vector<std::int64_t> ends;
--- a/unittests/Platform/AdapterTest.cpp
+++ b/unittests/Platform/AdapterTest.cpp
@@ -58,6 +58,29 @@
     }
 }
 
+TEST_CASE("Numbers of a job that exceed their fields are rejected, not cut off")
+{
+    std::string reason;
+    for (const auto* const invalid : { R"({"steps":[{"count":2147483648},{"count":2147483648}]})", R"({"steps":[{"count":4294967297}]})", R"({"steps":[{"count":4000},{"count":4000}]})",
+             R"({"steps":[{"count":1},{"count":1,"after":[4294967296]}]})", R"({"steps":[{"count":1,"anti_affinity":4294967297}]})", R"({"steps":[{"count":1,"cpu":1e30}]})",
+             R"({"steps":[{"count":1,"estimate_ms":1e300}]})", R"({"steps":[{"count":1}],"repeat_count":4294967297})", R"({"steps":[{"count":1}],"start_at_ms":1e300})" }) {
+        reason.clear();
+        CHECK_FALSE(parseJob(invalid, reason));
+        CHECK_FALSE(reason.empty());
+    }
+    reason.clear();
+    CHECK(parseJob(R"({"steps":[{"count":2.0,"estimate_ms":12.5}]})", reason));
+}
+
+TEST_CASE("Numbers of a configuration that exceed their fields are rejected")
+{
+    const std::string rows[] { R"("routes":[{"name":"r","host":"h","path_prefix":"/","priority":4294967296}])", R"("routes":[{"name":"r","host":"h","path_prefix":"/","max_attempts":4294967297}])",
+        R"("routes":[{"name":"r","host":"h","path_prefix":"/","stretch":1e300}])", R"("routes":[{"name":"r","host":"h","path_prefix":"/","hint":{"decide_ms":1e300}}])",
+        R"("services":[{"name":"s","max_connections":4294967297}])", R"("tenants":[{"name":"t","weight":1e300}])" };
+    for (const auto& row : rows)
+        CHECK_FALSE(parseCellPolicy("{\"version\":1," + row + "}"));
+}
+
 TEST_CASE("Callers' requests are decoded by method, path and headers")
 {
     const auto request = parseCaller({ "POST", "/a/0123456789abcdef?x=1", { { "Host", "h.example:80" }, { "Authorization", "Token k1" }, { "X-Request-Deadline", "2500" } }, "" });
