Messages between daemons: bounded nesting, enumerators and time-outs

Cause: the CBOR decoder recurses for each level of nesting, and for a container that claims more elements than memory it throws although exceptions are off; neither was handled in the daemon of a cell, so one message ended the process. Enumerators were cast from any integer: a start answer out of range counted as a refused start, and the task could run twice. A step that names a later one ended the process by std::out_of_range. Change: one decoder for CBOR, which stops at 32 levels and returns nothing for what it cannot read; the bounds of peers' messages are checked where they are decoded.

--- a/include/heatherchute/Support.h
+++ b/include/heatherchute/Support.h
@@ -146,6 +146,10 @@
 /// Empty for texts that are no valid base64.
 std::string decodeBase64(std::string_view text);
 
+std::string encodeCbor(const Json& json);
+/// Decodes one CBOR document; std::nullopt for anything else, and for one nested deeper than any of ours.
+std::optional<Json> decodeCbor(std::string_view bytes);
+
 /// Drops the fields of an object that hold what a reader with defaults assumes anyway: false,
 /// zero, and empty texts and lists.
 Json withoutDefaults(Json object);
@@ -178,7 +182,7 @@
             (decodeOne(std::integral_constant<std::size_t, indices> {}), ...);
         }
         (std::make_index_sequence<std::variant_size_v<Variant>>());
-    } catch (const Json::exception&) {
+    } catch (const std::exception&) {
         return ErrorKind::BadJson;
     }
     return value;
--- a/lib/Cell/State.cpp
+++ b/lib/Cell/State.cpp
@@ -5,21 +5,9 @@
 const std::string submissionPrefix = "heatherchute/job/";
 const std::string progressPrefix = "heatherchute/progress/";
 
-static std::string toBytes(const Json& json)
-{
-    std::string bytes;
-    Json::to_cbor(json, bytes);
-    return bytes;
-}
-
-static Json fromBytes(const std::string& bytes)
-{
-    return Json::from_cbor(bytes, true, false);
-}
-
 std::string CellDesk::encodeSubmission(const Job& job) const
 {
-    return toBytes({ { "queue", job.queue }, { "team", job.team }, { "service", job.service }, { "accepted", job.acceptedUnixMs }, { "spec", *job.spec } });
+    return encodeCbor({ { "queue", job.queue }, { "team", job.team }, { "service", job.service }, { "accepted", job.acceptedUnixMs }, { "spec", *job.spec } });
 }
 
 /// Encodes a task as [phase, run, failures, checkpoint, VM, incarnation]; trailing default values
@@ -44,7 +32,7 @@
 {
     // Once a job has ended and has no runs left, clients can only query its phase.
     if (isFinal(job.phase) && job.placements == 0)
-        return toBytes({ { "phase", static_cast<int>(job.phase) }, { "queue", job.queue }, { "team", job.team } });
+        return encodeCbor({ { "phase", static_cast<int>(job.phase) }, { "queue", job.queue }, { "team", job.team } });
     auto occurrences = Json::array();
     for (const auto& [number, occurrence] : job.occurrences) {
         auto steps = Json::array();
@@ -60,7 +48,7 @@
         }
         occurrences.push_back({ number, std::move(steps) });
     }
-    return toBytes({ { "phase", static_cast<int>(job.phase) }, { "next", job.nextOccurrence }, { "done", job.completedOccurrences }, { "occurrences", std::move(occurrences) } });
+    return encodeCbor({ { "phase", static_cast<int>(job.phase) }, { "next", job.nextOccurrence }, { "done", job.completedOccurrences }, { "occurrences", std::move(occurrences) } });
 }
 
 void CellDesk::flush(Now now)
@@ -241,10 +229,10 @@
     job.isDurable = true;
     std::vector<Placement> placed;
     try {
-        const auto progress = fromBytes(stored.progress);
+        const auto progress = decodeCbor(stored.progress).value();
         if (stored.submission.empty())
             return restoreEndedJob(stored.id, progress, now);
-        const auto submission = fromBytes(stored.submission);
+        const auto submission = decodeCbor(stored.submission).value();
         job.queue = submission.at("queue");
         job.team = submission.at("team");
         job.service = submission.at("service");
@@ -279,7 +267,7 @@
                 }
             }
         }
-    } catch (const Json::exception& exception) {
+    } catch (const std::exception& exception) {
         m_actions.emplace_back(Decision { "stored_job_unreadable", { { "job", stored.id }, { "reason", exception.what() } } });
         m_unreadableJobs.insert(stored.id);
         return false;
--- a/lib/Node/Messages.cpp
+++ b/lib/Node/Messages.cpp
@@ -1,10 +1,23 @@
 #include "Messages.h"
 
+#include <algorithm>
+#include <stdexcept>
+
 namespace heatherchute {
 
 // Commands and results are most of the traffic between daemons, so they are encoded as arrays without
 // field names.
 
+/// Decodes an enumerator that was sent as a number. Throws std::range_error if it is past `last`.
+template <typename Enum>
+static Enum decodeEnum(const Json& json, Enum last)
+{
+    const auto number = json.get<std::int64_t>();
+    if (number < 0 || number > static_cast<std::int64_t>(last))
+        throw std::range_error("enumerator out of range");
+    return static_cast<Enum>(number);
+}
+
 void to_json(Json& json, const VmCommand& command)
 {
     json = Json::array({ command.id, static_cast<int>(command.kind), command.vm, command.address });
@@ -24,7 +37,7 @@
 void from_json(const Json& json, VmCommand& command)
 {
     command.id = json.at(0);
-    command.kind = static_cast<VmCommandKind>(json.at(1).get<int>());
+    command.kind = decodeEnum(json.at(1), VmCommandKind::Heartbeat);
     command.vm = json.at(2);
     command.address = json.at(3);
     if (command.kind == VmCommandKind::Heartbeat) {
@@ -67,7 +80,7 @@
     for (const auto& row : json.at(2))
         state.running.push_back({ decodeTask(row.at(0)), row.at(1), row.at(2), 0 });
     for (const auto& row : json.at(3))
-        state.finished.push_back({ row.at(0), decodeTask(row.at(1)), row.at(2), static_cast<cell::RunEnd>(row.at(3).get<int>()), row.at(4) });
+        state.finished.push_back({ row.at(0), decodeTask(row.at(1)), row.at(2), decodeEnum(row.at(3), cell::RunEnd::Alone), row.at(4) });
     return state;
 }
 
@@ -81,23 +94,62 @@
 void from_json(const Json& json, VmResult& result)
 {
     result.id = json.at(0);
-    result.outcome = static_cast<platform::OrderOutcome>(json.at(1).get<int>());
-    result.answer = static_cast<cell::StartAnswer>(json.at(2).get<int>());
+    result.outcome = decodeEnum(json.at(1), platform::OrderOutcome::Unknown);
+    result.answer = decodeEnum(json.at(2), cell::StartAnswer::Unknown);
     if (json.size() > 3)
         result.state = decodeState(json.at(3));
 }
 
 std::string encodePeerMessage(const PeerMessage& message)
 {
-    std::string bytes;
-    Json::to_cbor(toTagged(message), bytes);
-    return bytes;
+    return encodeCbor(toTagged(message));
+}
+
+/// Longest time-out that a peer may ask for, in milliseconds.
+static constexpr std::uint64_t maxTimeoutMs = 60'000;
+
+// Each overload returns true if the values of a decoded message lie within their bounds.
+
+template <typename Message>
+static bool isInBounds(const Message&)
+{
+    return true;
+}
+
+static bool isInBounds(const OwnerRequest& request)
+{
+    return request.kind <= OwnerRequestKind::CountPending && cell::hasValidOrder(request.spec);
+}
+
+static bool isInBounds(const OwnerResponse& response)
+{
+    return response.error <= ErrorKind::Internal && response.phase <= cell::JobPhase::Cancelled;
+}
+
+static bool isInBounds(const AdviceRequest& request)
+{
+    return request.timeoutMs <= maxTimeoutMs;
+}
+
+static bool isInBounds(const AdviceResponse& response)
+{
+    return response.validityMs <= maxTimeoutMs;
+}
+
+static bool isInBounds(const VmCommands& commands)
+{
+    return std::all_of(commands.orders.begin(), commands.orders.end(), [](const VmCommand& command) { return command.waitMs <= maxTimeoutMs; });
 }
 
 Result<PeerMessage> decodePeerMessage(const std::string& bytes)
 {
-    const auto json = Json::from_cbor(bytes, true, false);
-    return json.is_discarded() ? Result<PeerMessage>(ErrorKind::BadJson) : fromTagged<PeerMessage>(json);
+    const auto document = decodeCbor(bytes);
+    if (!document)
+        return ErrorKind::BadJson;
+    auto message = fromTagged<PeerMessage>(*document);
+    if (message && !std::visit([](const auto& typed) { return isInBounds(typed); }, message.value()))
+        return ErrorKind::BadJson;
+    return message;
 }
 
 } // namespace heatherchute
--- a/lib/StateLog/StateLog.cpp
+++ b/lib/StateLog/StateLog.cpp
@@ -33,16 +33,17 @@
         rows.push_back(write.key);
         rows.push_back(write.value);
     }
-    std::string bytes;
-    Json::to_cbor(rows, bytes);
-    return bytes;
+    return encodeCbor(rows);
 }
 
 static std::optional<std::vector<StateWrite>> decodeRecord(const std::string& bytes)
 {
-    const auto rows = Json::from_cbor(bytes, true, false);
-    const bool isList = rows.is_array() && rows.size() % 2 == 0;
-    if (!isList || !std::all_of(rows.begin(), rows.end(), [](const auto& row) { return row.is_string(); }))
+    const auto document = decodeCbor(bytes);
+    const bool isList = document && document->is_array() && document->size() % 2 == 0;
+    if (!isList)
+        return std::nullopt;
+    const auto& rows = *document;
+    if (!std::all_of(rows.begin(), rows.end(), [](const auto& row) { return row.is_string(); }))
         return std::nullopt;
     std::vector<StateWrite> writes;
     for (std::size_t i = 0; i < rows.size(); i += 2)
--- a/lib/Wire/Wire.cpp
+++ b/lib/Wire/Wire.cpp
@@ -4,21 +4,13 @@
 
 std::string encodeMessage(const PeerMessage& message)
 {
-    std::string bytes;
-    Json::to_cbor(toTagged(message), bytes);
-    return bytes;
+    return encodeCbor(toTagged(message));
 }
 
 Result<PeerMessage> decodeMessage(std::string_view bytes)
 {
-    constexpr bool strict = true;
-    constexpr bool allowExceptions = false;
-    try {
-        return fromTagged<PeerMessage>(Json::from_cbor(bytes.begin(), bytes.end(), strict, allowExceptions));
-    } catch (const Json::exception&) {
-        // Thrown all the same for containers that claim to be larger than memory.
-        return ErrorKind::BadRequest;
-    }
+    const auto document = decodeCbor(bytes);
+    return document ? fromTagged<PeerMessage>(*document) : Result<PeerMessage>(ErrorKind::BadRequest);
 }
 
 /// Headers travel as name, value, name, value.
