Owner: only changed registry entries are parsed, and odd ones are left out alone

Cause: each event of the registry's watch parsed the whole registry again, copied it and logged every entry that could not be read, however often. A lagging daemon got the operator's document at each heartbeat, and at each new version the owner sent it to all daemons, though those that reach the store read it themselves. Change: VmRegistry applies changed entries, and tells whether a report has changed; an unreadable entry is logged once for each reason. The watch pauses for 0.1 s after a change. The document goes to peers that still lag after 0.5 s. An owner record that cannot be read no longer counts as a free cell. The soak gets two kinds of faults: odd entries, and orders that are carried out while their answer is lost, each with a scenario.

--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -1,4 +1,7 @@
 #include "Core.h"
+#include "VmRegistry.h"
+
+#include <algorithm>
 
 namespace heatherchute {
 
@@ -32,10 +35,12 @@
 
 } // namespace
 
-/// Watches a prefix of the store until `isEnded` returns true. Calls `onItems` with all items under
-/// the prefix after each change.
-static void followPrefix(NodeOutbound& outbound, const std::string& prefix, const std::string& what, const std::function<bool()>& isEnded,
-    const std::function<void(const std::map<std::string, platform::StoreItem>&)>& onItems)
+/// Gets all items under a prefix if `isComplete`, else those that were written or deleted since.
+using ItemHandler = std::function<void(const std::vector<platform::StoreItem>& items, bool isComplete)>;
+
+/// Watches a prefix of the store until `isEnded` returns true. Waits for `pause` after each change, so
+/// that the changes of that time arrive together.
+static void followPrefix(NodeOutbound& outbound, const std::string& prefix, const std::string& what, Milliseconds pause, const std::function<bool()>& isEnded, const ItemHandler& onItems)
 {
     Backoff backoff;
     bool isLost = false;
@@ -52,51 +57,54 @@
             continue;
         }
         backoff.reset();
-        std::map<std::string, platform::StoreItem> items;
-        for (const auto& item : list.value().items)
-            items[item.key] = item;
         auto revision = list.value().revision;
-        onItems(items);
+        onItems(list.value().items, true);
         while (!isEnded()) {
             const auto watched = outbound.store().watch(prefix, revision, watchTimeout);
             if (watched.outcome != platform::WatchOutcome::Events)
                 break;
-            for (const auto& item : watched.items) {
-                if (item.deleted)
-                    items.erase(item.key);
-                else
-                    items[item.key] = item;
-            }
             revision = std::max(revision, watched.revision);
-            if (!watched.items.empty())
-                onItems(items);
+            if (watched.items.empty())
+                continue;
+            onItems(watched.items, false);
+            if (pause.count() > 0)
+                outbound.sleep(pause);
         }
     }
 }
 
+/// Returns the latest of the items with this key; null if there is none.
+static const platform::StoreItem* findLatest(const std::vector<platform::StoreItem>& items, const std::string& key)
+{
+    const auto found = std::find_if(items.rbegin(), items.rend(), [&](const auto& item) { return item.key == key; });
+    return found == items.rend() ? nullptr : &*found;
+}
+
 void NodeCore::watchPolicy()
 {
     m_components.outbound->runFiber([this] {
         followPrefix(
-            *m_components.outbound, platform::operatorConfigurationKey, "policy", [] { return false; }, [this](const auto& items) {
-                const auto found = items.find(platform::operatorConfigurationKey);
-                if (found == items.end())
+            *m_components.outbound, platform::operatorConfigurationKey, "policy", Milliseconds(0), [] { return false; }, [this](const auto& items, bool) {
+                const auto* const item = findLatest(items, platform::operatorConfigurationKey);
+                if (!item || item->deleted)
                     return;
-                auto policy = platform::parseCellPolicy(found->second.value);
+                auto policy = platform::parseCellPolicy(item->value);
                 if (!policy)
                     return;
-                m_components.outbound->postToCore([this, text = found->second.value, policy = std::move(policy.value())]() mutable { adoptPolicy(std::move(text), std::move(policy), "store"); }); });
+                m_components.outbound->postToCore([this, text = item->value, policy = std::move(policy.value())]() mutable { adoptPolicy(std::move(text), std::move(policy), "store"); }); });
     });
 }
 
-static std::optional<cell::OwnerRecord> parseRecord(const platform::StoreItem& item)
+/// A record that cannot be decoded still has an owner, though an unknown one: its lease must end before
+/// another daemon may claim the cell.
+static cell::OwnerRecord parseRecord(const platform::StoreItem& item)
 {
-    const auto json = Json::parse(item.value, nullptr, false);
-    if (!json.is_object()) {
-        logEvent(LogLevel::Error, "owner_record_unreadable", { { "key", item.key } });
-        return std::nullopt;
+    cell::OwnerRecord record;
+    try {
+        record = Json::parse(item.value).get<cell::OwnerRecord>();
+    } catch (const Json::exception& exception) {
+        logEvent(LogLevel::Error, "owner_record_unreadable", { { "key", item.key }, { "reason", exception.what() } });
     }
-    auto record = json.get<cell::OwnerRecord>();
     record.revision = item.revision;
     return record;
 }
@@ -105,9 +113,11 @@
 {
     m_components.outbound->runFiber([this] {
         followPrefix(
-            *m_components.outbound, ownerKey, "owner", [] { return false; }, [this](const auto& items) {
-                const auto found = items.find(ownerKey);
-                auto record = found == items.end() ? std::nullopt : parseRecord(found->second);
+            *m_components.outbound, ownerKey, "owner", Milliseconds(0), [] { return false; }, [this](const auto& items, bool isComplete) {
+                const auto* const item = findLatest(items, ownerKey);
+                if (!item && !isComplete)
+                    return;
+                auto record = item && !item->deleted ? std::optional(parseRecord(*item)) : std::nullopt;
                 m_components.outbound->postToCore([this, record = std::move(record)] {
                     m_election.onRecord(record, Clock::now());
                     m_nextDial = TimePoint();
@@ -308,19 +318,15 @@
 
 void NodeCore::watchRegistry()
 {
-    m_components.outbound->runFiber([this, ended = m_ownershipEnded] {
+    /// A large fleet reports many times a second; a draining VM may get new runs for this time longer.
+    constexpr Milliseconds registryPause { 100 };
+    m_components.outbound->runFiber([this, ended = m_ownershipEnded, registryPause] {
+        VmRegistry registry;
         followPrefix(
-            *m_components.outbound, platform::vmRegistryPrefix, "registry", [ended] { return ended->load(); }, [this, ended](const auto& items) {
-                std::map<std::string, cell::VmReport> reports;
-                for (const auto& [key, item] : items) {
-                    std::string reason;
-                    const auto id = platform::vmIdOfKey(key);
-                    if (auto report = platform::parseVmReport(id, item.value, reason))
-                        reports.emplace(id, std::move(*report));
-                    else
-                        logEvent(LogLevel::Warning, "vm_report_unreadable", { { "vm", id }, { "reason", reason }, { "revision", item.revision } });
-                }
-                m_components.outbound->postToCore([this, ended, reports = std::move(reports)]() mutable {
+            *m_components.outbound, platform::vmRegistryPrefix, "registry", registryPause, [ended] { return ended->load(); }, [this, ended, &registry](const auto& items, bool isComplete) {
+                if (!registry.apply(items, isComplete) && !isComplete)
+                    return;
+                m_components.outbound->postToCore([this, ended, reports = registry.reports()]() mutable {
                     if (ended->load())
                         return;
                     m_registry = std::move(reports);
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -155,14 +155,31 @@
         updateAdvisers();
     if (isNew)
         logEvent(LogLevel::Info, "peer_met", { { "peer", hello.daemon }, { "failure_domain", hello.failureDomain }, { "owner", hello.ownsCell }, { "policy", hello.policyVersion } });
-    if (m_policy && hello.policyVersion < m_policy->version)
-        m_components.links->send(link, PeerPolicy { m_policyText });
+    sendPolicyIfLagging(link, peer);
     if (hello.ownsCell)
         m_election.trustOwner();
     if (becameOwner)
         schedulePass();
 }
 
+void NodeCore::sendPolicyIfLagging(LinkId link, Peer& peer)
+{
+    /// Daemons that reach the store have a new policy within this time. The document is large, and
+    /// sending it to all of them would fill the links of a large cell.
+    constexpr Milliseconds storeTime { 500 };
+    if (!m_policy || peer.hello.policyVersion >= m_policy->version) {
+        peer.policyLagsSince.reset();
+        return;
+    }
+    const auto time = Clock::now();
+    if (!peer.policyLagsSince)
+        peer.policyLagsSince = time;
+    if (time - *peer.policyLagsSince < storeTime)
+        return;
+    peer.policyLagsSince = time;
+    m_components.links->send(link, PeerPolicy { m_policyText });
+}
+
 void NodeCore::handle(LinkId, const PeerPolicy& policy)
 {
     if (auto parsed = platform::parseCellPolicy(policy.text))
--- a/test/cell/cell.py
+++ b/test/cell/cell.py
@@ -204,7 +204,7 @@
             for proxy in (daemon.peers, daemon.callers, daemon.store):
                 proxy.heal()
         for vm in self.vms.values():
-            vm.lost, vm.fails_all = 0.0, False
+            vm.lost, vm.mute, vm.fails_all = 0.0, 0.0, False
             self.vm_proxies[vm.id].heal()
             if not vm.up:
                 vm.come_back()
--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -247,6 +247,26 @@
             vm.lost = 0.4
         return lambda: [setattr(vm, "lost", 0.0) for vm in vms]
 
+    def do_vm_mute(self, count):
+        vms = self.some_vms(count)
+        for vm in vms:
+            vm.mute = 0.4
+        return lambda: [setattr(vm, "mute", 0.0) for vm in vms]
+
+    def do_odd_entries(self, count):
+        """Another writer leaves entries in the registry that name no VM."""
+        valid = {"service": "workers", "address": "127.0.0.1:9", "zone": "zone-a", "state": "ready", "born": 1, "labels": [], "capacity": {"cpu": 9}}
+        odd = ["[" * 100_000, '{"a":' * 100_000 + "1" + "}" * 100_000, "", "[]", "\x00\x01",
+               *(json.dumps({**valid, **change}) for change in (
+                   {"address": "127.0.0.1:65536"}, {"address": "127.0.0.1:0"}, {"address": 5}, {"born": 10 ** 40}, {"born": 1.5}, {"born": -1},
+                   {"capacity": {"cpu": 10 ** 30}}, {"capacity": [1]}, {"labels": [[]]}, {"state": "resting"}, {"service": None})),
+               json.dumps(valid).replace('"born": 1', '"born": 1e999'), json.dumps(valid)[:-1] + ',"x":' + "[" * 5_000 + "]" * 5_000 + ',"state":7}']
+        names = []
+        for number, value in enumerate(self.random.sample(odd, min(int(count), len(odd)))):
+            names.append(f"servers/odd\r\nX-{number}" if number == 0 else f"servers/odd-{number}")
+            self.cell.store.put(names[-1], value)
+        return lambda: [self.cell.store.delete(name) for name in names]
+
     def do_vm_fails(self, count):
         vms = self.some_vms(count)
         for vm in vms:
@@ -300,7 +320,7 @@
         lambda: f"silence {draw.choice(['all', one()])}", lambda: f"reset {draw.choice(['all', one()])}", lambda: f"cut-peers {one()} for 3",
         lambda: f"delay-peers {one()} for 3", lambda: f"vm-crash {draw.randint(1, 4)} for {draw.choice([1, 3, 8])}",
         lambda: f"vm-cut {draw.randint(1, 4)} for {draw.choice([2, 5, 12])}", lambda: f"vm-silence {draw.randint(1, 6)}",
-        lambda: f"vm-late {draw.randint(1, 6)} for 4", lambda: f"vm-fails {draw.randint(1, 3)} for 3",
+        lambda: f"vm-late {draw.randint(1, 6)} for 4", lambda: f"vm-mute {draw.randint(1, 6)} for 4", lambda: "odd-entries 99 for 4", lambda: f"vm-fails {draw.randint(1, 3)} for 3",
         lambda: f"drain {draw.randint(1, 3)} for 4", lambda: f"key {draw.choice(['blue', 'green'])}"]
     at = 2.0
     lines = []
--- a/test/cell/vms.py
+++ b/test/cell/vms.py
@@ -78,6 +78,8 @@
         self.up = False
         # Share of orders that get no answer, of those carried out late, and a worker that fails all.
         self.lost = 0.0
+        # Share of orders that are carried out at once and whose answer is lost.
+        self.mute = 0.0
         self.fails_all = False
         self.draining = False
         self.draining_since = 0.0
@@ -161,7 +163,8 @@
             await asyncio.sleep(self.random.choice([0.0, 0.0, self.random.uniform(0.2, 3.0)]))
             await self.answer(request)
             return None
-        return await self.answer(request)
+        answer = await self.answer(request)
+        return None if self.mute and self.random.random() < self.mute else answer
 
     async def answer(self, request):
         if request.headers.get("x-expected-instance") != self.id:
