Daemons that are cut off from the store find the owner by their peers; callers at a daemon that is cut off are sent elsewhere

Cause: a daemon dials the address in the owner record that it has read. One that cannot read the store after the owner has changed has no way to the new owner. A request that was sent over a link which then went silent waited until the caller's deadline, and callers on open connections stayed with a daemon that is out of rotation. Change: heartbeats between daemons carry the newest owner record's address and revision; OwnerDirectory chooses the address to dial. expiryOf ends requests at once where the owner has not been reached for longer than a replacement takes, and their connections are closed. A daemon is not ready once the owner has been silent for three heartbeats. Ruled out: adopting a heard record in the election, since the record may have been deleted meanwhile and nobody would claim the cell.

--- a/include/heatherchute/Http.h
+++ b/include/heatherchute/Http.h
@@ -32,6 +32,8 @@
     /// If set, the body is sent in chunks: each call returns the next chunk, and std::nullopt ends the
     /// body. May suspend the fiber.
     std::function<std::optional<std::string>()> nextChunk;
+    /// The connection is closed after this response.
+    bool closesConnection = false;
 };
 
 /// First value of the header `name`, compared without regard to case; empty if there is none.
--- a/lib/Http/Server.cpp
+++ b/lib/Http/Server.cpp
@@ -176,7 +176,7 @@
         auto request = toRequest(parser);
         request.connection = number;
         auto response = state.handler(std::move(request));
-        const bool keepAlive = clientKeepsAlive && !isHead && !state.draining.load();
+        const bool keepAlive = clientKeepsAlive && !isHead && !response.closesConnection && !state.draining.load();
         const bool written = send(stream, std::move(response), keepAlive, state.settings.readTimeout);
         state.activeRequests.fetch_sub(1);
         if (!written || !keepAlive)
--- a/lib/Node/Calls.cpp
+++ b/lib/Node/Calls.cpp
@@ -6,9 +6,6 @@
 static constexpr Milliseconds defaultTimeout { 3000 };
 /// Part of the client's timeout reserved for the transfer of the response.
 static constexpr Milliseconds responseMargin { 150 };
-/// Maximum time that a request waits for the cell to have an owner. A successor claims and loads the
-/// cell in half of it after the owner's record expires. After that the client is told to retry.
-static constexpr Milliseconds maxOwnerWait { 1500 };
 
 static OwnerRequestKind ownerRequestKind(platform::CallKind kind)
 {
@@ -120,14 +117,18 @@
 void NodeCore::expireRequests()
 {
     const auto time = Clock::now();
+    const bool isCutOff = !isOwnerReachable() && isCutOffFromOwner(m_ownerReachedAt, time);
     for (auto it = m_requests.begin(); it != m_requests.end();) {
         const auto& pending = it->second;
-        const bool isOwnerWaitOver = !pending.wasSentToOwner && time >= pending.arrivedAt + maxOwnerWait;
-        if (time < pending.deadline && !isOwnerWaitOver) {
+        const auto expiry = expiryOf({ pending.arrivedAt, pending.deadline, pending.wasSentToOwner }, isCutOff, time);
+        if (expiry == RequestExpiry::Wait) {
             ++it;
             continue;
         }
-        respond(pending, errorResponse(pending.wasSentToOwner ? ErrorKind::OutcomeUnknown : ErrorKind::HomeUnreachable));
+        auto response = errorResponse(expiry == RequestExpiry::Unknown ? ErrorKind::OutcomeUnknown : ErrorKind::HomeUnreachable);
+        // The caller's next connection leads to another daemon once this one is out of rotation.
+        response.closesConnection = isCutOff;
+        respond(pending, std::move(response));
         it = m_requests.erase(it);
     }
 }
--- a/lib/Node/Core.cpp
+++ b/lib/Node/Core.cpp
@@ -95,6 +95,7 @@
 
 void NodeCore::start()
 {
+    m_ownerReachedAt = Clock::now();
     Closure begin = [this] {
         watchPolicy();
         watchOwner();
@@ -154,7 +155,9 @@
 
 void NodeCore::updateReadiness()
 {
-    const bool hasOwner = m_scheduler || ownerLink() != 0;
+    const bool hasOwner = isOwnerReachable();
+    if (hasOwner)
+        m_ownerReachedAt = Clock::now();
     m_components.front->setReady(m_policy && hasOwner && !m_isStopping);
 }
 
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "Duties.h"
+#include "OwnerContact.h"
 #include "heatherchute/Cell.h"
 #include "heatherchute/Election.h"
 #include "heatherchute/Metrics.h"
@@ -137,6 +138,11 @@
     void stepDownIfVmsUnreachable(TimePoint time);
     /// Open link to the owner of the cell; zero when there is none.
     LinkId ownerLink() const;
+    /// Returns true if this daemon owns the cell or has heard from its owner recently.
+    bool isOwnerReachable() const;
+    /// Address of the owner by the newest record that this daemon has read or heard of; none if it is
+    /// this daemon or unknown.
+    std::optional<Address> ownerAddress() const;
 
     // Owner.cpp
     void runElection();
@@ -208,6 +214,9 @@
 
     std::map<LinkId, Peer> m_peers;
     TimePoint m_nextDial;
+    OwnerDirectory m_ownerDirectory;
+    /// Time at which the owner was last reachable.
+    TimePoint m_ownerReachedAt;
     std::map<std::uint64_t, PendingRequest> m_requests;
     std::uint64_t m_nextRequest = 1;
     std::map<cell::CallId, RequestOrigin> m_requestOrigins;
--- a/lib/Node/Messages.h
+++ b/lib/Node/Messages.h
@@ -20,8 +20,12 @@
     std::uint64_t fencingToken = 0;
     /// Number of processor cores that the daemon may use; may be a fraction.
     double processorShare = 0;
+    /// Address and store revision of the latest owner record that the sender knows, for daemons that
+    /// cannot read it from the store. Empty and zero if there is none.
+    std::string ownerAddress;
+    std::uint64_t ownerRevision = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PeerHello, daemon, failureDomain, incarnation, policyVersion, ownsCell, peerAddress, fencingToken, processorShare)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PeerHello, daemon, failureDomain, incarnation, policyVersion, ownsCell, peerAddress, fencingToken, processorShare, ownerAddress, ownerRevision)
 
 /// The operator's configuration document, for a daemon that cannot read it from the store.
 struct PeerPolicy {
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -119,6 +119,7 @@
                     return;
                 auto record = item && !item->deleted ? std::optional(parseRecord(*item)) : std::nullopt;
                 m_components.outbound->postToCore([this, record = std::move(record)] {
+                    m_ownerDirectory.onRecord(record);
                     m_election.onRecord(record, Clock::now());
                     m_nextDial = TimePoint();
                     schedulePass();
--- /dev/null
+++ b/lib/Node/OwnerContact.h
@@ -0,0 +1,49 @@
+/// Decisions of a daemon that does not own the cell: where the owner is, and when callers stop waiting
+/// for it. Pure; the load that they answer is that of callers at daemons which are cut off from the
+/// store or from the owner.
+#pragma once
+
+#include "heatherchute/Election.h"
+
+namespace heatherchute {
+
+/// Address of the owner, by the newest record that was read from the store or that another daemon has
+/// told of. Only an address to connect to: whether the daemon there owns the cell is its own word.
+class OwnerDirectory {
+public:
+    void onRecord(const std::optional<cell::OwnerRecord>& record);
+    void onHeard(std::uint64_t revision, const std::string& address);
+    /// Empty if there is no owner or none is known.
+    const std::string& address() const;
+
+private:
+    std::uint64_t m_readRevision = 0;
+    std::string m_readAddress;
+    std::uint64_t m_heardRevision = 0;
+    std::string m_heardAddress;
+};
+
+/// A caller's request that the owner has not answered.
+struct UnansweredRequest {
+    TimePoint arrivedAt;
+    TimePoint deadline;
+    /// The request was sent to an owner at least once, so it may have taken effect.
+    bool wasSentToOwner = false;
+};
+
+/// What becomes of an unanswered request.
+enum class RequestExpiry : std::uint8_t {
+    Wait,
+    /// Ends now; the request has certainly not taken effect.
+    NotRun,
+    /// Ends now; the request may have taken effect.
+    Unknown,
+};
+
+/// Returns true if the owner, last reached at `ownerReachedAt`, has been away for longer than its
+/// replacement takes, so that this daemon alone is probably cut off from it.
+bool isCutOffFromOwner(TimePoint ownerReachedAt, TimePoint now);
+
+RequestExpiry expiryOf(const UnansweredRequest& request, bool isCutOff, TimePoint now);
+
+} // namespace heatherchute
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -7,6 +7,10 @@
 static constexpr Milliseconds silenceTimeout { 1600 };
 static constexpr Milliseconds dialInterval { 250 };
 
+/// The owner's links are silent for about this time before callers are sent elsewhere: three missed
+/// heartbeats. The link itself is kept for longer.
+static constexpr Milliseconds doubtTimeout { 1200 };
+
 LinkId NodeCore::ownerLink() const
 {
     const auto& record = m_election.record();
@@ -18,10 +22,31 @@
     return 0;
 }
 
+bool NodeCore::isOwnerReachable() const
+{
+    if (m_scheduler)
+        return true;
+    const auto link = ownerLink();
+    return link != 0 && Clock::now() - m_peers.at(link).lastHeard < doubtTimeout;
+}
+
+std::optional<Address> NodeCore::ownerAddress() const
+{
+    const auto address = parseAddress(m_ownerDirectory.address());
+    if (!address || address.value() == m_settings.advertisePeers)
+        return std::nullopt;
+    return address.value();
+}
+
 void NodeCore::sendHello(LinkId link, Peer& peer)
 {
     peer.lastHello = Clock::now();
-    m_components.links->send(link, PeerHello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_scheduler != nullptr, addressText(m_settings.advertisePeers), m_scheduler ? m_election.fencingToken() : 0, m_settings.processorShare });
+    PeerHello hello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_scheduler != nullptr, addressText(m_settings.advertisePeers), m_scheduler ? m_election.fencingToken() : 0, m_settings.processorShare, {}, 0 };
+    if (const auto& record = m_election.record()) {
+        hello.ownerAddress = record->peerAddress;
+        hello.ownerRevision = record->revision;
+    }
+    m_components.links->send(link, hello);
 }
 
 void NodeCore::stepDownIfVmsUnreachable(TimePoint time)
@@ -74,18 +99,17 @@
         onLinkClosed(link);
     }
     stepDownIfVmsUnreachable(time);
-    const auto& record = m_election.record();
-    if (m_scheduler || m_election.isOwner() || !record || record->daemon == m_settings.name || time < m_nextDial)
+    if (m_scheduler || m_election.isOwner() || time < m_nextDial)
         return;
-    const auto address = parseAddress(record->peerAddress);
+    const auto address = ownerAddress();
     if (!address)
         return;
     for (const auto& [link, peer] : m_peers) {
-        if (peer.isOutgoing && peer.dialled == address.value())
+        if (peer.isOutgoing && peer.dialled == *address)
             return;
     }
     m_nextDial = time + dialInterval;
-    m_components.links->dial(address.value());
+    m_components.links->dial(*address);
 }
 
 void NodeCore::onDialled(const Address& address, LinkId link)
@@ -156,6 +180,7 @@
     if (isNew)
         logEvent(LogLevel::Info, "peer_met", { { "peer", hello.daemon }, { "failure_domain", hello.failureDomain }, { "owner", hello.ownsCell }, { "policy", hello.policyVersion } });
     sendPolicyIfLagging(link, peer);
+    m_ownerDirectory.onHeard(hello.ownerRevision, hello.ownerAddress);
     if (hello.ownsCell)
         m_election.trustOwner();
     if (becameOwner)
--- /dev/null
+++ b/unittests/Node/OwnerContactTest.cpp
@@ -0,0 +1,58 @@
+#include "../../lib/Node/OwnerContact.h"
+
+#include <catch2/catch.hpp>
+
+using namespace heatherchute;
+
+namespace {
+
+const TimePoint start { Seconds(100) };
+
+cell::OwnerRecord makeRecord(std::uint64_t revision, const std::string& address)
+{
+    return { "daemon", "nonce", address, 5, revision };
+}
+
+} // namespace
+
+TEST_CASE("A daemon without the store learns the owner's address from others")
+{
+    OwnerDirectory directory;
+    CHECK(directory.address().empty());
+    directory.onRecord(makeRecord(4, "10.0.0.1:7"));
+    directory.onHeard(3, "10.0.0.9:7");
+    CHECK(directory.address() == "10.0.0.1:7");
+    directory.onHeard(8, "10.0.0.2:7");
+    CHECK(directory.address() == "10.0.0.2:7");
+    // A daemon that lags repeats an older record.
+    directory.onHeard(4, "10.0.0.1:7");
+    CHECK(directory.address() == "10.0.0.2:7");
+    directory.onRecord(makeRecord(12, "10.0.0.3:7"));
+    CHECK(directory.address() == "10.0.0.3:7");
+    directory.onRecord(std::nullopt);
+    CHECK(directory.address().empty());
+}
+
+TEST_CASE("Callers at a daemon that is cut off from the owner are sent elsewhere at once")
+{
+    const UnansweredRequest fresh { start, start + Milliseconds(2850), false };
+    const UnansweredRequest sent { start, start + Milliseconds(2850), true };
+    const auto soon = start + Milliseconds(100);
+    CHECK(expiryOf(fresh, false, soon) == RequestExpiry::Wait);
+    CHECK(expiryOf(sent, false, soon) == RequestExpiry::Wait);
+    CHECK(expiryOf(fresh, true, soon) == RequestExpiry::NotRun);
+    // What an owner may have taken is never said to have not run.
+    CHECK(expiryOf(sent, true, soon) == RequestExpiry::Unknown);
+}
+
+TEST_CASE("While the owner is replaced, requests wait for its successor")
+{
+    const UnansweredRequest fresh { start, start + Milliseconds(2850), false };
+    const UnansweredRequest sent { start, start + Milliseconds(2850), true };
+    CHECK_FALSE(isCutOffFromOwner(start, start + Milliseconds(1400)));
+    CHECK(isCutOffFromOwner(start, start + Milliseconds(1600)));
+    CHECK(expiryOf(fresh, false, start + Milliseconds(1400)) == RequestExpiry::Wait);
+    CHECK(expiryOf(fresh, false, start + Milliseconds(1600)) == RequestExpiry::NotRun);
+    CHECK(expiryOf(sent, false, start + Milliseconds(1600)) == RequestExpiry::Wait);
+    CHECK(expiryOf(sent, false, start + Milliseconds(2850)) == RequestExpiry::Unknown);
+}
