--- a/tools/cell-model/Deployments.cpp
+++ b/tools/cell-model/Deployments.cpp
@@ -62,7 +62,7 @@
 
 std::vector<std::string> modelDeployments()
 {
-    return { "workshop", "workshop-burst", "workshop-hot-team", "grown", "grown-burst", "target" };
+    return { "workshop", "workshop-burst", "workshop-hot-team", "grown", "grown-burst", "large", "large-burst", "target" };
 }
 
 ModelSettings modelDeployment(const std::string& name)
@@ -92,6 +92,45 @@
         }
         return settings;
     }
+    if (name == "large" || name == "large-burst") {
+        // Ten times the VMs of the workshop, with wider and heavier work that fills four fifths of them.
+        auto settings = workshop(1, 540, 1);
+        settings.vmCapacity = { 64'000, 131'072, 0 };
+        settings.vmsPerRack = 12;
+        settings.failureDomains = 5;
+        settings.teams = 29;
+        settings.daemons = 97;
+        auto& large = settings.queues[0];
+        large.jobsPerSecond = 6.8;
+        large.tasks = 20;
+        large.maxTasks = 120;
+        large.memoryMb = 33'000;
+        large.worth = 5.77;
+        large.policy.advice = AdvicePolicy { Milliseconds(480), 6.9, Milliseconds(1500) };
+        auto& medium = settings.queues[1];
+        medium.jobsPerSecond = 11.1;
+        medium.tasks = 24;
+        medium.maxTasks = 150;
+        medium.runMs = 2200;
+        medium.cpuMilli = 11'000;
+        medium.memoryMb = 16'000;
+        medium.worth = 2.21;
+        medium.policy.advice = AdvicePolicy { Milliseconds(140), 2, Milliseconds(1500) };
+        auto& urgent = settings.queues[2];
+        urgent.jobsPerSecond = 78.9;
+        urgent.tasks = 3.1;
+        urgent.maxTasks = 19;
+        urgent.runMs = 1000;
+        urgent.cpuMilli = 16'000;
+        urgent.worth = 0.435;
+        urgent.policy.advice = AdvicePolicy { Milliseconds(20), 0.28, Milliseconds(1500) };
+        if (name == "large-burst") {
+            for (auto& queue : settings.queues)
+                queue.jobsPerSecond *= 1.3;
+        }
+        settings.load = Seconds(25);
+        return settings;
+    }
     if (name == "target") {
         // 2,100 VMs, 190 starts a second, and some 20,000 tasks at once by the end of the load: tasks
         // of minutes.
