Requests that wait for an earlier owner go to its successor as soon as it is known

Cause: requests were sent again only when the link to the owner closed while that link still counted as the owner's. Also, with two links whose daemons both say that they own the cell, the older link was taken. Ruled out: a slow load (0.2 s) and the successor's commits: queries need none and timed out as well. Change: a request remembers the link that it was sent to, is due again once the owner's link is another one, and only an answer over that link counts, since an earlier owner may refuse what its successor has accepted. The owner's link is the one with the highest fencing token. Measured: the new case of OwnerContactTest; the decision did not exist before.

--- a/lib/Node/Calls.cpp
+++ b/lib/Node/Calls.cpp
@@ -92,12 +92,12 @@
         return;
     std::vector<std::uint64_t> ids;
     for (const auto& [id, pending] : m_requests) {
-        if (!pending.awaitsOwner)
+        if (isDue(pending.dispatch, link))
             ids.push_back(id);
     }
     for (const auto id : ids) {
         auto& pending = m_requests.at(id);
-        pending.awaitsOwner = true;
+        pending.dispatch = { true, link };
         pending.wasSentToOwner = true;
         if (m_scheduler)
             serveRequest(pending.request, { 0, id });
@@ -111,7 +111,7 @@
 void NodeCore::requeueRequests()
 {
     for (auto& [id, pending] : m_requests)
-        pending.awaitsOwner = false;
+        pending.dispatch.awaitsAnswer = false;
 }
 
 void NodeCore::expireRequests()
@@ -159,13 +159,13 @@
     return errorResponse(ErrorKind::Internal);
 }
 
-void NodeCore::onOwnerResponse(const OwnerResponse& reply)
+void NodeCore::onOwnerResponse(LinkId from, const OwnerResponse& reply)
 {
     const auto found = m_requests.find(reply.id);
-    if (found == m_requests.end())
+    if (found == m_requests.end() || !isAnswered(found->second.dispatch, from))
         return;
     if (reply.notOwner) {
-        found->second.awaitsOwner = false;
+        found->second.dispatch.awaitsAnswer = false;
         return;
     }
     respond(found->second, responseOf(found->second.request, reply));
@@ -176,7 +176,7 @@
 {
     reply.id = origin.id;
     if (origin.link == 0)
-        onOwnerResponse(reply);
+        onOwnerResponse(0, reply);
     else
         m_components.links->send(origin.link, reply);
 }
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -58,8 +58,7 @@
         TimePoint deadline;
         /// The request was sent to an owner at least once, so it may have taken effect.
         bool wasSentToOwner = false;
-        /// The current owner has the request and has not responded yet.
-        bool awaitsOwner = false;
+        OwnerDispatch dispatch;
     };
 
     struct Peer {
@@ -113,7 +112,8 @@
     void respond(const PendingRequest& pending, HttpResponse response);
     void dispatchRequests();
     void expireRequests();
-    void onOwnerResponse(const OwnerResponse& reply);
+    /// Handles an owner's response that arrived over `from`; zero for the scheduler of this daemon.
+    void onOwnerResponse(LinkId from, const OwnerResponse& reply);
     /// Applies a request to the scheduler of this daemon.
     void serveRequest(const OwnerRequest& request, RequestOrigin origin);
     void respondTo(const RequestOrigin& origin, OwnerResponse reply);
--- a/lib/Node/OwnerContact.cpp
+++ b/lib/Node/OwnerContact.cpp
@@ -27,6 +27,16 @@
     return m_heardRevision > m_readRevision ? m_heardAddress : m_readAddress;
 }
 
+bool isDue(const OwnerDispatch& dispatch, LinkId owner)
+{
+    return !dispatch.awaitsAnswer || dispatch.sentTo != owner;
+}
+
+bool isAnswered(const OwnerDispatch& dispatch, LinkId from)
+{
+    return dispatch.awaitsAnswer && dispatch.sentTo == from;
+}
+
 bool isCutOffFromOwner(TimePoint ownerReachedAt, TimePoint now)
 {
     return now - ownerReachedAt > maxOwnerWait;
--- a/lib/Node/OwnerContact.h
+++ b/lib/Node/OwnerContact.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "heatherchute/Election.h"
+#include "heatherchute/Peer.h"
 
 namespace heatherchute {
 
@@ -23,6 +24,22 @@
     std::string m_heardAddress;
 };
 
+/// Which owner a caller's request was sent to last.
+struct OwnerDispatch {
+    /// That owner has the request and has not answered yet.
+    bool awaitsAnswer = false;
+    /// Link to that owner; zero for this daemon itself.
+    LinkId sentTo = 0;
+};
+
+/// Returns true if the request must be sent to the owner behind `owner`: it was not sent yet, or to an
+/// earlier owner, whose answer will not come or no longer counts. Requests are idempotent by the job's id.
+bool isDue(const OwnerDispatch& dispatch, LinkId owner);
+
+/// Returns true if an answer over the link `from` is the answer to this request. An earlier owner may say
+/// that a job was not accepted which its successor has accepted meanwhile.
+bool isAnswered(const OwnerDispatch& dispatch, LinkId from);
+
 /// A caller's request that the owner has not answered.
 struct UnansweredRequest {
     TimePoint arrivedAt;
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -14,12 +14,16 @@
 LinkId NodeCore::ownerLink() const
 {
     const auto& record = m_election.record();
+    // An owner that has been replaced without noticing still says that it owns the cell.
+    LinkId newest = 0;
+    std::uint64_t newestToken = record ? record->revision : 0;
     for (const auto& [link, peer] : m_peers) {
-        const bool isOwner = peer.hello.ownsCell && (!record || peer.hello.fencingToken >= record->revision);
-        if (peer.isOpen && isOwner)
-            return link;
+        if (!peer.isOpen || !peer.hello.ownsCell || peer.hello.fencingToken < newestToken)
+            continue;
+        newest = link;
+        newestToken = peer.hello.fencingToken;
     }
-    return 0;
+    return newest;
 }
 
 bool NodeCore::isOwnerReachable() const
@@ -224,9 +228,9 @@
     m_components.links->send(link, reply);
 }
 
-void NodeCore::handle(LinkId, const OwnerResponse& reply)
+void NodeCore::handle(LinkId link, const OwnerResponse& reply)
 {
-    onOwnerResponse(reply);
+    onOwnerResponse(link, reply);
 }
 
 void NodeCore::handle(LinkId link, const AdviceRequest& request)
--- a/unittests/Node/OwnerContactTest.cpp
+++ b/unittests/Node/OwnerContactTest.cpp
@@ -33,6 +33,25 @@
     CHECK(directory.address().empty());
 }
 
+TEST_CASE("Requests go to the next owner as soon as it is known, and only its answer counts")
+{
+    constexpr LinkId earlier = 4;
+    constexpr LinkId next = 9;
+    OwnerDispatch dispatch;
+    CHECK(isDue(dispatch, earlier));
+    dispatch = { true, earlier };
+    CHECK_FALSE(isDue(dispatch, earlier));
+    CHECK(isAnswered(dispatch, earlier));
+    // The earlier owner is silent, and its link has not been dropped yet.
+    CHECK(isDue(dispatch, next));
+    dispatch = { true, next };
+    // "Not accepted" of the earlier owner arrives after its successor got the request.
+    CHECK_FALSE(isAnswered(dispatch, earlier));
+    CHECK(isAnswered(dispatch, next));
+    // This daemon itself has become the owner.
+    CHECK(isDue(dispatch, 0));
+}
+
 TEST_CASE("Callers at a daemon that is cut off from the owner are sent elsewhere at once")
 {
     const UnansweredRequest fresh { start, start + Milliseconds(2850), false };
