Tests of decoders run on a small thread stack instead of a fiber's

Cause: NodeTests ended under the address sanitizer: it does not know the stacks of fibers, and reports an overflow in its own handler when an exception is thrown on one (an oversized container, by the library). All frames of ours above it are sound, and the same cases pass without the sanitizer.

--- a/unittests/Node/MessagesTest.cpp
+++ b/unittests/Node/MessagesTest.cpp
@@ -1,9 +1,8 @@
 #include "../../lib/Node/Messages.h"
 
-#include "heatherchute/Runtime.h"
+#include "SmallStack.h"
 
 #include <catch2/catch.hpp>
-#include <future>
 #include <rapidcheck.h>
 
 using namespace heatherchute;
@@ -71,10 +70,7 @@
 
 TEST_CASE("Bytes that are no message are refused, however deep they nest or long they claim to be")
 {
-    // Decoded on the stack of a fiber, as at the daemon's links.
-    Duty loop { "fiber" };
-    std::promise<void> done;
-    loop.spawn([&] {
+    runOnSmallStack([] {
         for (const unsigned char head : { 0x81, 0x9F, 0xBF, 0xC1 })
             CHECK_FALSE(decodePeerMessage(std::string(100'000, static_cast<char>(head))));
         CHECK_FALSE(decodePeerMessage(std::string("\x82\x00\x9b\xff\xff\xff\xff\xff\xff\xff\xff", 11)));
@@ -86,7 +82,5 @@
             bytes.resize(*rc::gen::inRange<std::size_t>(1, bytes.size() + 1));
             (void)decodePeerMessage(bytes);
         }));
-        done.set_value();
     });
-    done.get_future().wait();
 }
--- a/unittests/Node/VmRegistryTest.cpp
+++ b/unittests/Node/VmRegistryTest.cpp
@@ -1,9 +1,8 @@
 #include "../../lib/Node/VmRegistry.h"
 
-#include "heatherchute/Runtime.h"
+#include "SmallStack.h"
 
 #include <catch2/catch.hpp>
-#include <future>
 #include <rapidcheck.h>
 
 using namespace heatherchute;
@@ -31,18 +30,6 @@
     return result;
 }
 
-/// Runs `body` on the stack of a fiber, as the daemon's parsers run.
-void runInFiber(const std::function<void()>& body)
-{
-    Duty loop { "fiber" };
-    std::promise<void> done;
-    loop.spawn([&] {
-        body();
-        done.set_value();
-    });
-    done.get_future().wait();
-}
-
 /// Entries that name no VM, of the kinds that other writers have left among those of VMs.
 std::vector<std::string> oddEntries()
 {
@@ -65,7 +52,7 @@
 
 TEST_CASE("Odd entries of the registry are left out alone, and the others hold")
 {
-    runInFiber([] {
+    runOnSmallStack([] {
         const auto odd = oddEntries();
         VmRegistry registry;
         std::vector<platform::StoreItem> items { makeItem("i-1", entryText()) };
@@ -106,7 +93,7 @@
 
 TEST_CASE("No bytes in an entry end the process")
 {
-    runInFiber([] {
+    runOnSmallStack([] {
         CHECK(rc::check("any change of a byte gives a report or a reason", [] {
             auto text = entryText();
             text[*rc::gen::inRange<std::size_t>(0, text.size())] = *rc::gen::arbitrary<char>();
