Messages: tickets may be valid for longer than a minute

Cause: found while the change was read again. The bound on the validity of tickets in an answer from a peer was that of time-outs, 60 s. On a deployment whose advice is valid for longer, each such answer would have dropped the link. Change: its own bound, that of durations in the configuration. Time-outs keep theirs.

--- a/lib/Node/Messages.cpp
+++ b/lib/Node/Messages.cpp
@@ -107,6 +107,8 @@
 
 /// Longest time-out that a peer may ask for, in milliseconds.
 static constexpr std::uint64_t maxTimeoutMs = 60'000;
+/// Longest validity of a ticket, in milliseconds: four months, as for durations of the configuration.
+static constexpr std::uint64_t maxValidityMs = 10'000'000'000;
 
 // Each overload returns true if the values of a decoded message lie within their bounds.
 
@@ -133,7 +135,7 @@
 
 static bool isInBounds(const AdviceResponse& response)
 {
-    return response.validityMs <= maxTimeoutMs;
+    return response.validityMs <= maxValidityMs;
 }
 
 static bool isInBounds(const VmCommands& commands)
--- a/unittests/Node/MessagesTest.cpp
+++ b/unittests/Node/MessagesTest.cpp
@@ -61,6 +61,8 @@
     CHECK_FALSE(decodePeerMessage(encodeTagged(3, { { "error", 200 } })));
     CHECK_FALSE(decodePeerMessage(encodeTagged(3, { { "phase", 200 } })));
     CHECK_FALSE(decodePeerMessage(encodeTagged(4, { { "timeoutMs", std::numeric_limits<std::uint64_t>::max() } })));
+    CHECK_FALSE(decodePeerMessage(encodeTagged(5, { { "validityMs", std::numeric_limits<std::uint64_t>::max() } })));
+    CHECK(decodePeerMessage(encodeTagged(5, { { "validityMs", 600'000 } })));
     // A start whose answer is out of range must not be taken for one that was refused.
     CHECK_FALSE(decodePeerMessage(encodeTagged(7, { { "results", { { 1, 0, 99 } } } })));
     CHECK_FALSE(decodePeerMessage(encodeTagged(7, { { "results", { { 1, 99, 0 } } } })));
