Test cells keep their ports: no other process gets one before its daemon binds it

The harness chose a port by binding and closing it. The port was then an ephemeral one that anybody could get: the store of this test, or of one beside it, listened on a port that a daemon had been promised. Its output shows it: the store's stand-in got GET /readiness (ValueError: 'readiness' is no lease number), and daemon-4 ended with status 2 at each start, as taken_ports.py asks. Ruled out: a daemon that does not become ready. The request for readiness reached a store. Change: the harness keeps a socket bound to each port for the life of the cell. Both it and the daemon's listener allow the address to be reused, so the daemon may bind it by number, and neither bind(0) nor connect() hands it out. Also between a daemon's end and its next start.

--- a/test/cell/cell.py
+++ b/test/cell/cell.py
@@ -118,20 +118,19 @@
         self.daemons = {}
         self.version = 0
         self.tasks = []
-        self.ports = []
+        self.port_holders = []
         # Keys by team, and routes; both change with the operator's versions.
         self.keys = {team: "key-" + team for team in TEAMS}
         self.routes = dict(QUEUES)
 
     def take_port(self):
-        """A port that is free now. It is bound again soon, before others are likely to take it."""
-        while True:
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                port = probe.getsockname()[1]
-            if port not in self.ports:
-                self.ports.append(port)
-                return port
+        """A port that only a listener bound to it by number gets, also between two runs of its daemon."""
+        holder = socket.socket()
+        # Both sockets with this option may be bound at once, as only the other one listens.
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(("127.0.0.1", 0))
+        self.port_holders.append(holder)
+        return holder.getsockname()[1]
 
     async def open(self):
         daemons, vms = self.counts
@@ -216,5 +215,7 @@
             daemon.thaw()
             daemon.kill()
             daemon.process.wait()
+        for holder in self.port_holders:
+            holder.close()
         if not keep:
             shutil.rmtree(self.folder, ignore_errors=True)
