An owner that is cut off leaves rotation and its domain's daemons stop following it

Cause: a daemon with a scheduler always counted as reaching the owner, also when its lease had run out, and it said "owns the cell" to the daemons of its failure domain. Ruled out: to leave rotation whenever the lease is not confirmed. In an outage of the store for all, no daemon would be ready, though the owner still answers queries. Change: an owner whose lease is not confirmed and that hears fewer than half of the daemons heard at its last renewal is isolated (pure: isOwnerIsolated). It is not ready, does not call itself owner, and closes connections on refusals. An owner that has lost the store alone ends its ownership when a daemon tells of a newer owner record, rather than when a VM or the store does.

--- a/lib/Daemon/CoreServices.cpp
+++ b/lib/Daemon/CoreServices.cpp
@@ -18,9 +18,8 @@
 {
     auto passed = request;
     const auto prefix = "/v1/services/" + service;
-    passed.target = request.target.substr(std::min(prefix.size(), request.target.size()));
-    if (passed.target.empty() || passed.target.front() != '/')
-        passed.target.insert(0, "/");
+    const auto path = request.target.substr(std::min(prefix.size(), request.target.size()));
+    passed.target = path.starts_with('/') ? path : '/' + path;
     std::erase_if(passed.headers, [](const HttpHeader& header) {
         return isHopHeader(header.name) || !findHeader({ header }, "Authorization").empty();
     });
--- a/lib/Node/Calls.cpp
+++ b/lib/Node/Calls.cpp
@@ -117,7 +117,8 @@
 void NodeCore::expireRequests()
 {
     const auto time = Clock::now();
-    const bool isCutOff = !isOwnerReachable() && isCutOffFromOwner(m_ownerReachedAt, time);
+    // The scheduler of this daemon refuses what it can't store.
+    const bool isCutOff = !m_scheduler && !isOwnerReachable() && isCutOffFromOwner(m_ownerReachedAt, time);
     for (auto it = m_requests.begin(); it != m_requests.end();) {
         const auto& pending = it->second;
         const auto expiry = expiryOf({ pending.arrivedAt, pending.deadline, pending.wasSentToOwner }, isCutOff, time);
@@ -168,7 +169,9 @@
         found->second.dispatch.awaitsAnswer = false;
         return;
     }
-    respond(found->second, responseOf(found->second.request, reply));
+    auto response = responseOf(found->second.request, reply);
+    response.closesConnection = reply.error != ErrorKind::None && isIsolatedOwner();
+    respond(found->second, std::move(response));
     m_requests.erase(found);
 }
 
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -140,6 +140,10 @@
     LinkId ownerLink() const;
     /// Returns true if this daemon owns the cell or has heard from its owner recently.
     bool isOwnerReachable() const;
+    /// Number of connected daemons that were heard from recently.
+    std::size_t peersHeard() const;
+    /// Returns true if this daemon owned the cell when it was cut off from most other daemons.
+    bool isIsolatedOwner() const;
     /// Address of the owner by the newest record that this daemon has read or heard of; none if it is
     /// this daemon or unknown.
     std::optional<Address> ownerAddress() const;
@@ -217,6 +221,8 @@
     OwnerDirectory m_ownerDirectory;
     /// Time at which the owner was last reachable.
     TimePoint m_ownerReachedAt;
+    /// Number of daemons that were heard from when this one's claim was last renewed.
+    std::size_t m_peersAtRenewal = 0;
     std::map<std::uint64_t, PendingRequest> m_requests;
     std::uint64_t m_nextRequest = 1;
     std::map<cell::CallId, RequestOrigin> m_requestOrigins;
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -181,6 +181,8 @@
         m_components.outbound->postToCore([this, lease, outcome, sentAt] {
             const auto before = m_election.tenure();
             m_election.onRenewal(lease, outcome, sentAt, Clock::now());
+            if (outcome == cell::RenewalOutcome::Renewed)
+                m_peersAtRenewal = peersHeard();
             if (m_election.tenure() != before)
                 logEvent(LogLevel::Info, "tenure_changed", { { "from", cell::tenureName(before) }, { "to", cell::tenureName(m_election.tenure()) } });
             schedulePass();
--- a/lib/Node/OwnerContact.cpp
+++ b/lib/Node/OwnerContact.cpp
@@ -42,6 +42,11 @@
     return now - ownerReachedAt > maxOwnerWait;
 }
 
+bool isOwnerIsolated(const OwnerContact& contact)
+{
+    return !contact.isConfirmed && contact.peers * 2 < contact.peersAtRenewal;
+}
+
 RequestExpiry expiryOf(const UnansweredRequest& request, bool isCutOff, TimePoint now)
 {
     const bool isOwnerWaitOver = !request.wasSentToOwner && now >= request.arrivedAt + maxOwnerWait;
--- a/lib/Node/OwnerContact.h
+++ b/lib/Node/OwnerContact.h
@@ -1,6 +1,6 @@
-/// Decisions of a daemon that does not own the cell: where the owner is, and when callers stop waiting
-/// for it. Pure; the load that they answer is that of callers at daemons which are cut off from the
-/// store or from the owner.
+/// Decisions about the contact between daemons and the owner of the cell: where the owner is, when
+/// callers stop waiting for it, and when an owner itself is cut off. Pure; the load that they answer is
+/// that of callers at daemons which are cut off from the store, from the owner or from the others.
 #pragma once
 
 #include "heatherchute/Election.h"
@@ -61,6 +61,20 @@
 /// replacement takes, so that this daemon alone is probably cut off from it.
 bool isCutOffFromOwner(TimePoint ownerReachedAt, TimePoint now);
 
+/// Contact of an owner with the other daemons.
+struct OwnerContact {
+    /// The lease of the owner's record is certainly valid.
+    bool isConfirmed = false;
+    /// Number of daemons that were heard from recently.
+    std::size_t peers = 0;
+    /// The same number when the lease was last renewed.
+    std::size_t peersAtRenewal = 0;
+};
+
+/// Returns true if an owner is probably cut off with the minority of the daemons, so that a successor
+/// serves the others. While the store is away for all daemons, its owner still answers queries.
+bool isOwnerIsolated(const OwnerContact& contact);
+
 RequestExpiry expiryOf(const UnansweredRequest& request, bool isCutOff, TimePoint now);
 
 } // namespace heatherchute
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -1,5 +1,7 @@
 #include "Core.h"
 
+#include <algorithm>
+
 namespace heatherchute {
 
 static constexpr Milliseconds helloInterval { 400 };
@@ -29,11 +31,25 @@
 bool NodeCore::isOwnerReachable() const
 {
     if (m_scheduler)
-        return true;
+        return !isIsolatedOwner();
     const auto link = ownerLink();
     return link != 0 && Clock::now() - m_peers.at(link).lastHeard < doubtTimeout;
 }
 
+std::size_t NodeCore::peersHeard() const
+{
+    const auto time = Clock::now();
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
+        return entry.second.isOpen && time - entry.second.lastHeard < doubtTimeout;
+    }));
+}
+
+bool NodeCore::isIsolatedOwner() const
+{
+    const bool isConfirmed = m_election.tenure() == cell::Tenure::Owner;
+    return m_scheduler && !isConfirmed && isOwnerIsolated({ isConfirmed, peersHeard(), m_peersAtRenewal });
+}
+
 std::optional<Address> NodeCore::ownerAddress() const
 {
     const auto address = parseAddress(m_ownerDirectory.address());
@@ -45,7 +61,7 @@
 void NodeCore::sendHello(LinkId link, Peer& peer)
 {
     peer.lastHello = Clock::now();
-    PeerHello hello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_scheduler != nullptr, addressText(m_settings.advertisePeers), m_scheduler ? m_election.fencingToken() : 0, m_settings.processorShare, {}, 0 };
+    PeerHello hello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_scheduler && !isIsolatedOwner(), addressText(m_settings.advertisePeers), m_scheduler ? m_election.fencingToken() : 0, m_settings.processorShare, {}, 0 };
     if (const auto& record = m_election.record()) {
         hello.ownerAddress = record->peerAddress;
         hello.ownerRevision = record->revision;
@@ -185,6 +201,10 @@
         logEvent(LogLevel::Info, "peer_met", { { "peer", hello.daemon }, { "failure_domain", hello.failureDomain }, { "owner", hello.ownsCell }, { "policy", hello.policyVersion } });
     sendPolicyIfLagging(link, peer);
     m_ownerDirectory.onHeard(hello.ownerRevision, hello.ownerAddress);
+    if (m_election.isOwner() && hello.ownerRevision > m_election.fencingToken()) {
+        m_election.depose("daemon " + hello.daemon + " knows a newer owner record", Clock::now());
+        schedulePass();
+    }
     if (hello.ownsCell)
         m_election.trustOwner();
     if (becameOwner)
--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -24,6 +24,8 @@
 # seconds, a successor's load and a few tries take half of it.
 FINISH_S = 60.0
 PATIENCE_S = 3.0
+# An owner's lease and its heartbeats to the others have run out well within this time after a cut.
+ROTATION_S = 4.0
 FIRST_SEED_OF_LATER_KINDS = 1000
 PLANNED = {"term", "key", "route", "hup", "drain"}
 
@@ -220,6 +222,20 @@
     def do_cut_peers(self, target):
         return self.proxied(target, "peers", lambda proxy: proxy.cut.add(self.random.choice(["up", "down"])))
 
+    def do_cut_off(self, target):
+        """The daemon reaches neither the store nor another daemon; its callers still reach it."""
+        daemon = self.daemon(target)
+        undo = [self.proxied(daemon.name, path, lambda proxy: proxy.cut.update(("up", "down"))) for path in ("store", "peers")]
+        asyncio.ensure_future(self.check_rotation(daemon))
+        return lambda: [heal() for heal in undo]
+
+    async def check_rotation(self, daemon):
+        """Whoever is cut off from the others leaves rotation once its lease and its successor's claim are over."""
+        await asyncio.sleep(ROTATION_S)
+        answer = await Channel(daemon.readiness).call("GET", "/readiness", seconds=0.5)
+        if answer and answer[0] == 200 and "up" in daemon.peers.cut:
+            self.promises.broken("a daemon that is cut off leaves rotation", f"{daemon.name} is ready {ROTATION_S} s after the cut")
+
     def do_delay_peers(self, target):
         return self.proxied(target, "peers", lambda proxy: setattr(proxy, "delay", 0.2))
 
--- a/unittests/Node/OwnerContactTest.cpp
+++ b/unittests/Node/OwnerContactTest.cpp
@@ -64,6 +64,19 @@
     CHECK(expiryOf(sent, true, soon) == RequestExpiry::Unknown);
 }
 
+TEST_CASE("An owner that is cut off with a minority of the daemons leaves rotation")
+{
+    constexpr std::size_t all = 15;
+    constexpr std::size_t ownDomain = 2;
+    CHECK(isOwnerIsolated({ false, ownDomain, all }));
+    CHECK(isOwnerIsolated({ false, 0, 1 }));
+    // The lease holds: no successor can have claimed the cell.
+    CHECK_FALSE(isOwnerIsolated({ true, ownDomain, all }));
+    // The store is away for everybody, or the only daemon has lost it.
+    CHECK_FALSE(isOwnerIsolated({ false, all - 1, all }));
+    CHECK_FALSE(isOwnerIsolated({ false, 0, 0 }));
+}
+
 TEST_CASE("While the owner is replaced, requests wait for its successor")
 {
     const UnansweredRequest fresh { start, start + Milliseconds(2850), false };
