A new owner reads the parts of the stored cell at the same time

Ruled out: decoding. Reading takes four fifths of the time (new field read_ms: 125 of 162, 212 of 252 ms). Ruled out: that a part changes while another is read. The claim has fenced off every earlier owner, since each of its commits depends on the owner record's revision; the head is read after the claim as before. Change: three fibers list the parts; `cell_loaded` also tells read_ms.

--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -2,6 +2,7 @@
 #include "VmRegistry.h"
 
 #include <algorithm>
+#include <array>
 
 namespace heatherchute {
 
@@ -249,15 +250,42 @@
     return result;
 }
 
-/// Adds all values under a prefix of the store to `values`; false when the store cannot be read.
-static bool readPrefix(platform::StoreClient& store, const std::string& prefix, std::map<std::string, std::string>& values)
+namespace {
+
+    /// The cell as the store has it, by key.
+    struct StoredCell {
+        std::uint64_t headRevision = 0;
+        std::map<std::string, std::string> state;
+        std::map<std::string, std::string> records;
+    };
+
+} // namespace
+
+/// Reads the cell; nullopt when the store cannot be read. The parts are read at the same time: the
+/// claim of this daemon has fenced off all earlier owners, so none of them changes meanwhile.
+static std::optional<StoredCell> readCell(platform::StoreClient& store)
 {
-    auto list = store.list(prefix);
-    if (!list)
-        return false;
-    for (auto& item : list.value().items)
-        values[item.key] = std::move(item.value);
-    return true;
+    const std::array prefixes { &cell::submissionPrefix, &cell::progressPrefix, &cell::stateLogPrefix };
+    std::vector<boost::fibers::future<Result<platform::StoreList>>> lists;
+    lists.reserve(prefixes.size());
+    for (const auto* const prefix : prefixes)
+        lists.push_back(boost::fibers::async([&store, prefix] { return store.list(*prefix); }));
+    const auto head = store.get(headKey);
+    StoredCell stored;
+    bool isRead = static_cast<bool>(head);
+    for (std::size_t part = 0; part < prefixes.size(); ++part) {
+        auto list = lists[part].get();
+        isRead = isRead && list;
+        if (!isRead)
+            continue;
+        auto& values = prefixes[part] == &cell::stateLogPrefix ? stored.records : stored.state;
+        for (auto& item : list.value().items)
+            values[item.key] = std::move(item.value);
+    }
+    if (!isRead)
+        return std::nullopt;
+    stored.headRevision = head.value() ? head.value()->revision : 0;
+    return stored;
 }
 
 void NodeCore::loadCell()
@@ -265,21 +293,17 @@
     m_components.outbound->runFiber([this, ended = m_ownershipEnded, began = Clock::now()] {
         Backoff backoff;
         while (!ended->load()) {
-            auto& store = m_components.outbound->store();
-            const auto head = store.get(headKey);
-            std::map<std::string, std::string> state;
-            std::map<std::string, std::string> records;
-            const bool isRead = head && readPrefix(store, cell::submissionPrefix, state) && readPrefix(store, cell::progressPrefix, state) && readPrefix(store, cell::stateLogPrefix, records);
-            if (!isRead) {
+            auto stored = readCell(m_components.outbound->store());
+            if (!stored) {
                 m_components.outbound->sleep(backoff.next());
                 continue;
             }
-            const auto headRevision = head.value() ? head.value()->revision : 0;
+            const auto readAt = Clock::now();
             cell::StateLog log({ maxStateWrites });
-            for (const auto& key : log.load(state, records))
+            for (const auto& key : log.load(stored->state, stored->records))
                 logEvent(LogLevel::Error, "state_record_unreadable", { { "key", key } });
-            auto jobs = pairJobs(state);
-            m_components.outbound->postToCore([this, ended, headRevision, began, log = std::move(log), jobs = std::move(jobs)]() mutable {
+            auto jobs = pairJobs(stored->state);
+            m_components.outbound->postToCore([this, ended, headRevision = stored->headRevision, began, readAt, log = std::move(log), jobs = std::move(jobs)]() mutable {
                 if (ended->load())
                     return;
                 m_stateLog = std::move(log);
@@ -297,7 +321,7 @@
                 m_scheduler->load(jobs, now());
                 if (m_isRegistryKnown)
                     applyRegistry();
-                logEvent(LogLevel::Info, "cell_loaded", { { "jobs", jobs.size() }, { "log_records", m_stateLog.records() }, { "took_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - began).count() } });
+                logEvent(LogLevel::Info, "cell_loaded", { { "jobs", jobs.size() }, { "log_records", m_stateLog.records() }, { "read_ms", std::chrono::duration_cast<Milliseconds>(readAt - began).count() }, { "took_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - began).count() } });
                 m_ownedSince = Clock::now();
                 for (auto& [link, peer] : m_peers) {
                     if (peer.isOpen)
