--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Runs daemons as processes on the platform's stand-ins, harms them, and checks what must hold.
 
-usage: soak.py --build DIR [--keep] [--untimed] (FILE.scn... | --seed N [--count N])
+usage: soak.py --build DIR [--keep] [--untimed] [--daemons N] [--vms N] (FILE.scn... | --seed N [--count N])
 
 A scenario has a line for each fault: "at SECONDS VERB [TARGET] [for SECONDS]"; "load SECONDS" says
 how long callers send. A seed makes such a scenario; the lines of one that fails are printed, so that
@@ -369,7 +369,7 @@
 async def play(options, lines, seed):
     load, faults = parse_scenario(lines)
     promises = Promises(timed=not options.untimed)
-    cell = deployment.Cell(options.build, promises, seed)
+    cell = deployment.Cell(options.build, promises, seed, options.daemons, options.vms)
     tasks = []
     try:
         await cell.open()
@@ -425,6 +425,8 @@
     parser.add_argument("--untimed", action="store_true", help="judge only what a busy machine cannot delay")
     parser.add_argument("--seed", type=int)
     parser.add_argument("--count", type=int, default=1)
+    parser.add_argument("--daemons", type=int, default=6)
+    parser.add_argument("--vms", type=int, default=12)
     parser.add_argument("files", nargs="*")
     options = parser.parse_args()
     runs = []
