--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -424,6 +424,8 @@
     bool exceedsTeamRate(const std::string& team, Now now);
     /// Returns the time in which the whole cell could complete its outstanding work.
     Milliseconds backlog() const;
+    /// Policy of the queue with this name; null if there is none, or no policy yet.
+    const QueuePolicy* findQueue(const std::string& name) const { return m_policy ? m_policy->findQueue(name) : nullptr; }
     const QueuePolicy* policyOf(Job& job) const;
     bool isEligible(const Vm& vm, const ReadyStep& ready) const;
     std::size_t slotsIn(const Room& available, const Vm& vm, const ReadyStep& ready) const;
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -39,7 +39,7 @@
             m_afterNextCommit.push_back(std::move(after));
         return;
     }
-    const auto* const policy = m_policy ? m_policy->findQueue(queue) : nullptr;
+    const auto* const policy = findQueue(queue);
     if (!policy) {
         m_actions.emplace_back(AnswerCall { call, ErrorKind::StaleConfiguration });
         return;
@@ -149,7 +149,7 @@
 
 std::uint32_t CellDesk::maxAttempts(const Job& job) const
 {
-    const auto* const queue = m_policy ? m_policy->findQueue(job.queue) : nullptr;
+    const auto* const queue = findQueue(job.queue);
     return queue ? queue->maxAttempts : 1;
 }
 
--- a/lib/Cell/State.cpp
+++ b/lib/Cell/State.cpp
@@ -116,7 +116,7 @@
 
 void CellDesk::rejectSubmission(CallId call, const Job& job, Now now)
 {
-    const auto* const queue = m_policy ? m_policy->findQueue(job.queue) : nullptr;
+    const auto* const queue = findQueue(job.queue);
     const auto retryAfter = retryAfterOutage(job.id, queue ? objectiveOf(*queue, job.criticalPath) : Milliseconds(0));
     m_actions.emplace_back(Decision { "submission_refused", { { "job", job.id }, { "queue", job.queue }, { "team", job.team }, { "why", "store_silent" }, { "silent_ms", std::chrono::duration_cast<Milliseconds>(now.steady - m_commitStartedAt).count() }, { "retry_after_s", retryAfter.count() } } });
     m_actions.emplace_back(AnswerCall { call, ErrorKind::StoreUnavailable, retryAfter });
@@ -296,7 +296,7 @@
         vm.report.id = placement.vm;
         if (vm.leaseEnd < m_inheritedLeaseEnd)
             vm.leaseEnd = m_inheritedLeaseEnd;
-        const auto* const queue = m_policy ? m_policy->findQueue(job.queue) : nullptr;
+        const auto* const queue = findQueue(job.queue);
         placement.priority = queue ? queue->priority : 1;
         adjustUsage(placement, vm, 1);
         placement.stopRequested = isFinal(job.phase);
--- a/lib/Node/Calls.cpp
+++ b/lib/Node/Calls.cpp
@@ -121,7 +121,7 @@
     const bool isCutOff = !m_scheduler && !isOwnerReachable() && isCutOffFromOwner(m_ownerReachedAt, time);
     for (auto it = m_requests.begin(); it != m_requests.end();) {
         const auto& pending = it->second;
-        const auto expiry = expiryOf({ pending.arrivedAt, pending.deadline, pending.wasSentToOwner }, isCutOff, time);
+        const auto expiry = expiryOf(pending, isCutOff, time);
         if (expiry == RequestExpiry::Wait) {
             ++it;
             continue;
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -50,14 +50,10 @@
 
 private:
     /// A client request without a response yet.
-    struct PendingRequest {
+    struct PendingRequest : UnansweredRequest {
         /// Id by which NodeFront knows the request.
         std::uint64_t frontRequestId = 0;
         OwnerRequest request;
-        TimePoint arrivedAt;
-        TimePoint deadline;
-        /// The request was sent to an owner at least once, so it may have taken effect.
-        bool wasSentToOwner = false;
         OwnerDispatch dispatch;
     };
 
@@ -140,6 +136,8 @@
     LinkId ownerLink() const;
     /// Returns true if this daemon owns the cell or has heard from its owner recently.
     bool isOwnerReachable() const;
+    /// Returns true if the peer is connected and was heard from recently.
+    static bool isHeard(const Peer& peer);
     /// Number of connected daemons that were heard from recently.
     std::size_t peersHeard() const;
     /// Returns true if this daemon owned the cell when it was cut off from most other daemons.
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -2,7 +2,6 @@
 #include "VmRegistry.h"
 
 #include <algorithm>
-#include <array>
 
 namespace heatherchute {
 
@@ -261,28 +260,32 @@
 
 } // namespace
 
+/// Moves the values of a list to `values`; false when the list could not be read.
+static bool takeValues(Result<platform::StoreList> list, std::map<std::string, std::string>& values)
+{
+    if (!list)
+        return false;
+    for (auto& item : list.value().items)
+        values[item.key] = std::move(item.value);
+    return true;
+}
+
 /// Reads the cell; nullopt when the store cannot be read. The parts are read at the same time: the
 /// claim of this daemon has fenced off all earlier owners, so none of them changes meanwhile.
 static std::optional<StoredCell> readCell(platform::StoreClient& store)
 {
-    const std::array prefixes { &cell::submissionPrefix, &cell::progressPrefix, &cell::stateLogPrefix };
-    std::vector<boost::fibers::future<Result<platform::StoreList>>> lists;
-    lists.reserve(prefixes.size());
-    for (const auto* const prefix : prefixes)
-        lists.push_back(boost::fibers::async([&store, prefix] { return store.list(*prefix); }));
+    const auto list = [&store](const std::string& prefix) {
+        return boost::fibers::async([&store, &prefix] { return store.list(prefix); });
+    };
+    auto submissions = list(cell::submissionPrefix);
+    auto progress = list(cell::progressPrefix);
+    auto records = list(cell::stateLogPrefix);
     const auto head = store.get(headKey);
     StoredCell stored;
-    bool isRead = static_cast<bool>(head);
-    for (std::size_t part = 0; part < prefixes.size(); ++part) {
-        auto list = lists[part].get();
-        isRead = isRead && list;
-        if (!isRead)
-            continue;
-        auto& values = prefixes[part] == &cell::stateLogPrefix ? stored.records : stored.state;
-        for (auto& item : list.value().items)
-            values[item.key] = std::move(item.value);
-    }
-    if (!isRead)
+    const bool hasSubmissions = takeValues(submissions.get(), stored.state);
+    const bool hasProgress = takeValues(progress.get(), stored.state);
+    const bool hasRecords = takeValues(records.get(), stored.records);
+    if (!head || !hasSubmissions || !hasProgress || !hasRecords)
         return std::nullopt;
     stored.headRevision = head.value() ? head.value()->revision : 0;
     return stored;
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -13,6 +13,11 @@
 /// heartbeats. The link itself is kept for longer.
 static constexpr Milliseconds doubtTimeout { 1200 };
 
+bool NodeCore::isHeard(const Peer& peer)
+{
+    return peer.isOpen && Clock::now() - peer.lastHeard < doubtTimeout;
+}
+
 LinkId NodeCore::ownerLink() const
 {
     const auto& record = m_election.record();
@@ -33,19 +38,17 @@
     if (m_scheduler)
         return !isIsolatedOwner();
     const auto link = ownerLink();
-    return link != 0 && Clock::now() - m_peers.at(link).lastHeard < doubtTimeout;
+    return link != 0 && isHeard(m_peers.at(link));
 }
 
 std::size_t NodeCore::peersHeard() const
 {
-    const auto time = Clock::now();
-    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) {
-        return entry.second.isOpen && time - entry.second.lastHeard < doubtTimeout;
-    }));
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [](const auto& entry) { return isHeard(entry.second); }));
 }
 
 bool NodeCore::isIsolatedOwner() const
 {
+    // The peers are not counted while the lease holds: each heartbeat to each of them asks.
     const bool isConfirmed = m_election.tenure() == cell::Tenure::Owner;
     return m_scheduler && !isConfirmed && isOwnerIsolated({ isConfirmed, peersHeard(), m_peersAtRenewal });
 }
--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -258,17 +258,17 @@
         for vm in self.some_vms(count):
             self.cell.vm_proxies[vm.id].silence()
 
-    def do_vm_late(self, count):
+    def with_fault(self, count, field, harmed, healthy):
         vms = self.some_vms(count)
         for vm in vms:
-            vm.lost = 0.4
-        return lambda: [setattr(vm, "lost", 0.0) for vm in vms]
+            setattr(vm, field, harmed)
+        return lambda: [setattr(vm, field, healthy) for vm in vms]
+
+    def do_vm_late(self, count):
+        return self.with_fault(count, "lost", 0.4, 0.0)
 
     def do_vm_mute(self, count):
-        vms = self.some_vms(count)
-        for vm in vms:
-            vm.mute = 0.4
-        return lambda: [setattr(vm, "mute", 0.0) for vm in vms]
+        return self.with_fault(count, "mute", 0.4, 0.0)
 
     def do_odd_entries(self, count):
         """Another writer leaves entries in the registry that name no VM."""
@@ -285,10 +285,7 @@
         return lambda: [self.cell.store.delete(name) for name in names]
 
     def do_vm_fails(self, count):
-        vms = self.some_vms(count)
-        for vm in vms:
-            vm.fails_all = True
-        return lambda: [setattr(vm, "fails_all", False) for vm in vms]
+        return self.with_fault(count, "fails_all", True, False)
 
     def do_drain(self, count):
         vms = [vm for vm in self.some_vms(count) if vm.up]
--- a/unittests/Cell/CellModelTest.cpp
+++ b/unittests/Cell/CellModelTest.cpp
@@ -31,6 +31,18 @@
     return violations;
 }
 
+/// Returns a policy with one team and this queue.
+static CellPolicyPointer makePolicy(QueuePolicy queue)
+{
+    queue.name = "queue";
+    queue.service = "workers";
+    auto policy = std::make_shared<CellPolicy>();
+    policy->version = 1;
+    policy->queues.push_back(std::move(queue));
+    policy->teams.push_back({ "team", { "key" }, 100, {} });
+    return policy;
+}
+
 TEST_CASE("Without frequent faults, over 90% of urgent jobs meet their objective")
 {
     for (const std::uint64_t seed : { 1, 2, 3 }) {
@@ -81,14 +93,7 @@
 TEST_CASE("While the store is unavailable, submissions are rejected promptly and not accepted later")
 {
     CellDesk scheduler({}, TimePoint());
-    auto policy = std::make_shared<CellPolicy>();
-    policy->version = 1;
-    QueuePolicy queue;
-    queue.name = "queue";
-    queue.service = "workers";
-    policy->queues.push_back(queue);
-    policy->teams.push_back({ "team", { "key" }, 100, {} });
-    scheduler.setPolicy(policy);
+    scheduler.setPolicy(makePolicy({}));
     JobSpec spec;
     spec.payload = "work";
     spec.steps.resize(1);
@@ -122,15 +127,9 @@
 TEST_CASE("In an outage of the store, the attempts of clients with long jobs outlast it")
 {
     CellDesk scheduler({}, TimePoint());
-    auto policy = std::make_shared<CellPolicy>();
-    policy->version = 1;
-    QueuePolicy queue;
-    queue.name = "queue";
-    queue.service = "workers";
-    queue.stretch = 2;
-    policy->queues.push_back(queue);
-    policy->teams.push_back({ "team", { "key" }, 100, {} });
-    scheduler.setPolicy(policy);
+    QueuePolicy longJobs;
+    longJobs.stretch = 2;
+    scheduler.setPolicy(makePolicy(longJobs));
     Now now { TimePoint(Seconds(100)), 1'700'000'000'000 };
     /// Submits a job of this length and returns the delay that its client is told; zero if it has no answer yet.
     const auto submit = [&](CallId call, Milliseconds length) {
