--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -19,6 +19,7 @@
 ROOT = os.path.dirname(os.path.dirname(HERE))
 sys.path.insert(0, os.path.join(ROOT, "test", "cell"))
 
+from cell import end_with_parent  # noqa: E402
 from loopback import Channel, HttpServer  # noqa: E402
 from record import Record  # noqa: E402
 from store import Store  # noqa: E402
@@ -67,7 +68,7 @@
             "node_name": self.name, "role": "daemon", "machine_class": "front", "ip": self.ip, "zone": zone, "region": "zilina",
             "listen": {"front": f"{self.ip}:8183", "readiness": f"{self.ip}:8184"}, "internal_ports": [7420, 7435],
             "limits": {"cpu_share": 0.25, "memory_mb": 260, "max_fds": 4200}, "control_mode": "invoke", "hint": None,
-            "platform": {"address": deployment.store_address(self), "form": "kv", "ttl_min_ms": 1000}, "bounds": BOUNDS}
+            "platform": {"address": f"127.0.0.1:{deployment.store_server.port}", "form": "kv", "ttl_min_ms": 1000}, "bounds": BOUNDS}
         with open(self.settings_path, "w", encoding="utf-8") as file:
             file.write(render(template, fields))
         # The settings path of the platform's machines is replaced by one in the temporary folder.
@@ -77,7 +78,7 @@
     def start(self):
         with open(self.log_path, "a", encoding="utf-8") as log:
             environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
-            self.process = subprocess.Popen(self.command, cwd=ROOT, env=environment, stdout=log, stderr=log)
+            self.process = subprocess.Popen(self.command, cwd=ROOT, env=environment, stdout=log, stderr=log, preexec_fn=end_with_parent)
 
     def supervise(self, record):
         """Starts the process again a short time after it has ended, as the platform does."""
@@ -102,6 +103,9 @@
             self.role = tomllib.load(file)["roles"]["daemon"]
         self.store = Store(seed)
         self.store_server = HttpServer(self.store.handle)
+        # Workers by id that don't reach the store, and since when; the store removes their entries in time.
+        self.cut_from_store = {}
+        self.store_down_since = None
         self.network = self.free_network()
         self.daemon_count = daemons
         self.daemons = []
@@ -110,9 +114,6 @@
         self.needs = {}
         self.version = 0
         self.task = None
-        # Workers that don't reach the store, and since when; the store removes their entries in time.
-        self.cut_from_store = {}
-        self.store_down_since = None
 
     def free_network(self):
         """A loopback /24 on which the ports of the daemons are free."""
@@ -129,9 +130,6 @@
             except OSError:
                 continue
 
-    def store_address(self, _daemon):
-        return f"127.0.0.1:{self.store_server.port}"
-
     async def add_worker(self, worker_id, zone, kind, capacity):
         worker = Worker(worker_id, zone, kind, capacity, self.needs, self.record)
         server = HttpServer(worker.handle)
@@ -280,13 +278,13 @@
     return {"name": name, "api_keys": ["key-" + name], "weight": weight, "upper_limit": {"cpu": cpu, "mem_mb": mem_mb, "gpu": 0}}
 
 
-def run_case(case_file, scenario, make_deployment=Deployment, **options):
+def run_case(case_file, scenario, make_deployment):
     """Runs `scenario(deployment, has_trouble)`, writes record.txt beside the case, and returns the exit status."""
     record = Record(os.path.join(os.path.dirname(os.path.abspath(case_file)), "record.txt"))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
-        deployment = make_deployment(record, **options)
+        deployment = make_deployment(record)
         try:
             await deployment.open()
             await asyncio.wait_for(scenario(deployment, has_trouble), 110)
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import random
 import time
 
 MAX_HOLD_MS = 10_000
@@ -33,6 +34,11 @@
         self.needs = needs
         self.record = record
         self.address = None
+        # Share of requests that an unhealthy worker answers with 503, having done nothing.
+        self.busy_share = 0.0
+        # Share of orders that get no answer and are carried out 2 to 12 s later.
+        self.late_share = 0.0
+        self.random = random.Random(worker_id)
         self.up = False
         self.boot()
 
@@ -93,6 +99,21 @@
     async def handle(self, request):
         if not self.up:
             return None
+        if self.late_share and request.path != "/hold" and self.random.random() < self.late_share:
+            delay = self.random.uniform(2.0, 12.0)
+            self.record.line(f"late {self.id} {request.path} {request.json()['task']} run {request.json()['run']}: in {delay:.1f} s")
+            asyncio.get_running_loop().call_later(delay, self.carry_out_late, request)
+            return None
+        if self.busy_share and self.random.random() < self.busy_share:
+            self.record.line(f"busy {self.id} {request.path} {request.json().get('task', '')}: 503")
+            return 503, {}
+        return await self.carry_out(request)
+
+    def carry_out_late(self, request):
+        if self.up:
+            asyncio.ensure_future(self.carry_out(request))
+
+    async def carry_out(self, request):
         if request.headers.get("x-expected-instance") != self.id:
             return 421, {}
         body = request.json()
