--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,6 @@
-"""A worker crashes, starts again as another kind and does not reach the store: its entry still tells of the boot before."""
+"""A route is removed and added again while a task of one of its jobs ends as failed for the first time."""
 
 import asyncio
-import json
 import os
 import sys
 
@@ -9,57 +8,45 @@
 
 from deployment import ZONES, Deployment, route, run_case, tenant  # noqa: E402
 
-CUT_S = 5.0
-DOWN_S = 0.5
-TRAFFIC_S = 16.0
-KIND = "a"
-LARGE = {"cpu": 64000, "mem_mb": 262144, "gpu": 0}
-SMALL = {"cpu": 32000, "mem_mb": 131072, "gpu": 0}
+MAX_ATTEMPTS = 4
+JOBS = 10
+RUN_MS = 3400
+ABSENT_S = 4.0
+TENANTS = [tenant("shop", 50)]
+KEPT = route("part-lookup", priority=0, attempts=MAX_ATTEMPTS)
+REMOVED = route("soundbox-tune", attempts=MAX_ATTEMPTS)
 
 
 class Case(Deployment):
     async def prepare(self):
         for number, zone in enumerate(ZONES):
-            await self.add_worker(f"i-{number:08x}", zone, KIND, dict(LARGE))
-        self.configure([route("soundbox-tune")], [tenant("shop", 500)])
+            await self.add_worker(f"i-{number:08x}", zone, "a", {"cpu": 64000, "mem_mb": 262144, "gpu": 0})
+        self.configure([KEPT, REMOVED], TENANTS)
 
 
 async def scenario(deployment, has_trouble):
     record = deployment.record
     await deployment.wait_ready()
     jobs = []
-
-    async def one_job():
-        # 10 tasks of about 3.9 cores and 3.4 s, as on the sheet of the site.
-        jobs.append(await deployment.submit("/soundbox-tune/", "key-shop", [({"count": 10, "cpu": 3900, "mem_mb": 8000, "estimate_ms": 3400, "requirements": KIND}, {"run_ms": 3400})]))
-
-    async def traffic():
-        calls = []
-        end = record.now() + TRAFFIC_S
-        while record.now() < end:
-            calls.append(asyncio.ensure_future(one_job()))
-            await asyncio.sleep(1 / 1.8)
-        await asyncio.gather(*calls)
-
-    sending = asyncio.ensure_future(traffic())
-    await asyncio.sleep(6.0)
+    for number in range(JOBS):
+        # The first run of the task of every other job fails by its own fault.
+        jobs.append(await deployment.submit("/soundbox-tune/", "key-shop", [({"count": 1, "cpu": 3900, "mem_mb": 8000, "estimate_ms": RUN_MS}, {"run_ms": RUN_MS, "fails": [1] if number % 2 else []})]))
+    if None in jobs:
+        raise RuntimeError("a job was not accepted")
+    await asyncio.sleep(1.0)
+    if has_trouble:
+        deployment.configure([KEPT], TENANTS)
+    await asyncio.sleep(ABSENT_S)
     if has_trouble:
-        worker = deployment.workers[0]
-        record.line(f"{worker.id} is cut from the store and crashes")
-        deployment.cut_from_store[worker.id] = asyncio.get_running_loop().time()
-        worker.crash()
-        for writer in list(worker.server.writers):
-            writer.transport.abort()
-        await asyncio.sleep(DOWN_S)
-        worker.kind, worker.capacity = "b", dict(SMALL)
-        worker.boot()
-        record.line(f"{worker.id} is up again as kind b with capacity {json.dumps(worker.capacity)}, born {worker.born}")
-        await asyncio.sleep(CUT_S - DOWN_S)
-        deployment.cut_from_store.clear()
-        deployment.store.put("servers/" + worker.id, worker.entry())
-        record.line(f"{worker.id} reaches the store again")
-    await sending
-    await asyncio.sleep(6.0)
+        deployment.configure([KEPT, REMOVED], TENANTS)
+    await asyncio.sleep(12.0)
+    for job in jobs:
+        state = await deployment.state("/soundbox-tune/", "key-shop", job)
+        failed = sum(row["how"] == "failed" for row in record.runs.get(f"{job}.0.0.0", []))
+        if state == "failed" and failed < MAX_ATTEMPTS:
+            record.rule_broken("LOST", f"job {job} is shown as failed after {failed} failed run of {MAX_ATTEMPTS} allowed")
+        elif state != "completed":
+            record.rule_broken("LOST", f"job {job} is shown as {state}")
 
 
 sys.exit(run_case(__file__, scenario, Case))
