Logs: the policy behind a job's end, whose leases ran out, and the moment an owner's lease does

Three log lines told hypotheses apart badly. job_ended names the policy's version and whether it has the job's queue; vm_leases_over says, once for a VM, whether its leases were granted by this owner or by an earlier one; tenure_changed is also written when the lease runs out, where until now only the next renewal wrote it. No decision changes.

--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -182,6 +182,8 @@
     details["job"] = job.id;
     details["queue"] = job.queue;
     details["phase"] = jobPhaseName(phase);
+    details["policy"] = m_policy ? m_policy->version : 0;
+    details["queue_known"] = findQueue(job.queue) != nullptr;
     details["age_ms"] = std::chrono::duration_cast<Milliseconds>(now.steady - job.acceptedAt).count();
     m_actions.emplace_back(Decision { "job_ended", std::move(details) });
 }
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -212,11 +212,14 @@
         const bool isUnresponsive = !vm.fenced || vm.missedHeartbeats >= missedHeartbeatsUntilUnresponsive || vm.report.address.port == 0;
         if (!isUnresponsive || now.steady < vm.leaseEnd)
             continue;
+        const auto expiredBefore = expired.size();
         for (const auto& task : vm.placements) {
             const auto& placement = m_placements.at(task);
             if (placement.isDurable && !placement.commandInFlight)
                 expired.push_back(task);
         }
+        if (expired.size() > expiredBefore)
+            m_actions.emplace_back(Decision { "vm_leases_over", { { "vm", id }, { "runs", expired.size() - expiredBefore }, { "inherited", vm.leaseEnd == m_inheritedLeaseEnd }, { "fenced", vm.fenced }, { "listed", vm.listed } } });
     }
     for (const auto& task : expired)
         markRunLost(task, "lease_over", now);
--- a/lib/Node/Core.cpp
+++ b/lib/Node/Core.cpp
@@ -125,7 +125,10 @@
 {
     // After a pause of the process, queued events come before the timer's: the lease must have been
     // checked against the current time before anything acts on it.
+    const auto tenureBefore = m_election.tenure();
     m_election.tick(Clock::now());
+    if (tenureBefore == cell::Tenure::Owner && m_election.tenure() == cell::Tenure::Unconfirmed)
+        logEvent(LogLevel::Warning, "tenure_changed", { { "from", cell::tenureName(tenureBefore) }, { "to", cell::tenureName(m_election.tenure()) } });
     runElection();
     if (m_scheduler) {
         m_scheduler->setTenured(m_election.tenure() == cell::Tenure::Owner);
