A stop that a VM refuses is no confirmation: it is sent again

The VM had done nothing; an earlier start without an answer was carried out later, beside the task's next run.

Ruled out: an earlier owner's order (one owner throughout), a lapsed lease (none lapsed), the start's own deadline (not over yet).

Change: the answer to a stop is a type, StopAnswer, and the scheduler decides what it proves. Only a stop that was carried out and another VM at the address confirm. Refused stops are repeated after 250, 500 and then every 1,000 ms. Why it works: a run is given up only when its VM has promised that it neither runs nor will start, or listed its end.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -238,6 +238,8 @@
     bool startUnconfirmed = false;
     bool stopRequested = false;
     bool stopAcknowledged = false;
+    /// Number of stop commands in a row that the VM refused.
+    unsigned refusedStops = 0;
     TimePoint firstCommandAt;
     TimePoint nextCommandAt;
     /// Latest response to a command for the run. Only a heartbeat sent later shows whether the VM
@@ -320,7 +322,7 @@
 
     void onBeat(const BeatAnswer& response, Now now);
     void onStart(const std::string& vm, const TaskId& task, std::uint32_t run, StartAnswer response, Now now);
-    void onStop(const std::string& vm, const TaskId& task, std::uint32_t run, bool acknowledged, bool fenced, Now now);
+    void onStop(const std::string& vm, const TaskId& task, std::uint32_t run, StopAnswer response, Now now);
     void onAdvice(const AdviceAnswer& response, Now now);
     void onCommitted(Now now);
     /// Performs all work that is due: sends commands and heartbeats, places tasks, expires leases,
--- a/include/heatherchute/Work.h
+++ b/include/heatherchute/Work.h
@@ -259,6 +259,24 @@
 };
 std::string_view startAnswerName(StartAnswer answer);
 
+/// Result of a stop command.
+enum class StopAnswer : std::uint8_t {
+    /// The VM has stopped the run, or will not start it.
+    Stopped,
+    /// The address belongs to another VM or to another incarnation of the VM, which doesn't have the run.
+    WrongVm,
+    /// The VM has seen a higher fencing token.
+    Fenced,
+    /// The VM rejected the command and did nothing.
+    Refused,
+    /// The command was not sent.
+    NotSent,
+    /// The outcome is unknown: the command may have been executed or may still be.
+    Unknown,
+};
+/// Returns true if the run no longer runs on the VM, or ends there soon, and is not started there later.
+bool isStopConfirmed(StopAnswer answer);
+
 /// State of a job as reported to callers.
 enum class JobPhase : std::uint8_t {
     Queued,
--- a/lib/Cell/Runs.cpp
+++ b/lib/Cell/Runs.cpp
@@ -248,19 +248,23 @@
     markRunLost(task, startAnswerName(response), now);
 }
 
-void CellDesk::onStop(const std::string& vmId, const TaskId& task, std::uint32_t run, bool acknowledged, bool fenced, Now now)
+void CellDesk::onStop(const std::string& vmId, const TaskId& task, std::uint32_t run, StopAnswer response, Now now)
 {
     constexpr Milliseconds stopRetry { 250 };
-    if (fenced)
+    /// Upper bound of the number of doublings of the delay at a VM that refuses stop commands.
+    constexpr unsigned maxDoublings = 2;
+    if (response == StopAnswer::Fenced)
         m_actions.emplace_back(LostOwnership { vmId });
     const auto found = m_placements.find(task);
     if (found == m_placements.end() || found->second.run != run || found->second.vm != vmId)
         return;
     auto& placement = found->second;
     placement.commandInFlight = false;
-    placement.nextCommandAt = now.steady + stopRetry;
-    if (!acknowledged)
+    placement.nextCommandAt = now.steady + stopRetry * (1U << std::min(placement.refusedStops, maxDoublings));
+    if (!isStopConfirmed(response)) {
+        placement.refusedStops += response == StopAnswer::Refused ? 1 : 0;
         return;
+    }
     placement.stopAcknowledged = true;
     placement.lastResponseAt = now.steady;
 }
--- a/lib/Node/Orders.cpp
+++ b/lib/Node/Orders.cpp
@@ -153,6 +153,25 @@
         onVmResult(result);
 }
 
+static cell::StopAnswer stopAnswerOf(platform::OrderOutcome outcome)
+{
+    switch (outcome) {
+    case platform::OrderOutcome::Done:
+        return cell::StopAnswer::Stopped;
+    case platform::OrderOutcome::Fenced:
+        return cell::StopAnswer::Fenced;
+    case platform::OrderOutcome::WrongVm:
+        return cell::StopAnswer::WrongVm;
+    case platform::OrderOutcome::Refused:
+        return cell::StopAnswer::Refused;
+    case platform::OrderOutcome::NotSent:
+        return cell::StopAnswer::NotSent;
+    case platform::OrderOutcome::Unknown:
+        break;
+    }
+    return cell::StopAnswer::Unknown;
+}
+
 void NodeCore::onVmResult(const VmResult& result)
 {
     const auto found = m_commands.find(result.id);
@@ -169,9 +188,7 @@
         break;
     case VmCommandKind::Stop: {
         logEvent(LogLevel::Info, "stop_answered", { { "task", cell::taskText(command.task) }, { "run", command.run }, { "vm", command.vm }, { "outcome", platform::orderOutcomeName(result.outcome) } });
-        // Another incarnation of the VM does not have the run and rejects the stop command.
-        const bool isAnswered = result.outcome == platform::OrderOutcome::Done || result.outcome == platform::OrderOutcome::Refused || result.outcome == platform::OrderOutcome::WrongVm;
-        m_scheduler->onStop(command.vm, command.task, command.run, isAnswered, result.outcome == platform::OrderOutcome::Fenced, now());
+        m_scheduler->onStop(command.vm, command.task, command.run, stopAnswerOf(result.outcome), now());
         break;
     }
     case VmCommandKind::Heartbeat:
--- a/lib/Work/Work.cpp
+++ b/lib/Work/Work.cpp
@@ -163,6 +163,11 @@
     return nameOf(names, answer);
 }
 
+bool isStopConfirmed(StopAnswer answer)
+{
+    return answer == StopAnswer::Stopped || answer == StopAnswer::WrongVm;
+}
+
 std::string_view jobPhaseName(JobPhase phase)
 {
     static constexpr NamedValue<JobPhase> names[] {
--- a/tools/cell-model/ModelVms.cpp
+++ b/tools/cell-model/ModelVms.cpp
@@ -208,7 +208,9 @@
             }
         }
         toOwner(owner, isReached ? wire() : Milliseconds(700), [this, order, isReached, isFenced] {
-            m_desk->onStop(order.vm, order.task, order.run, isReached && !isFenced, isFenced, m_clock.deskTime());
+            const auto answer = isFenced ? StopAnswer::Fenced : isReached ? StopAnswer::Stopped
+                                                                          : StopAnswer::Unknown;
+            m_desk->onStop(order.vm, order.task, order.run, answer, m_clock.deskTime());
         });
     });
 }
