Steps that can't be placed no longer keep others out of the placement pass

Cause: a pass considers the 200 steps of the best rank, and 200 steps that a lowered quota holds back filled it for good.

Change: steps whose team has no quota left for one more task rank last, and 20 of a pass's 200 places go in turn to the steps beyond the best rank, so that no step is passed over forever. isWithinQuota and the gang sums share quotaLeft and the product of Room and a count.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -281,6 +281,9 @@
     std::string lastFailedJob;
 };
 
+/// Order in which steps get their turn: the sequence number of the job, the occurrence and the step.
+using StepTurn = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
+
 /// Capacity of one service's VMs during a placement pass.
 struct ServiceCapacity {
     /// VMs that accept new runs now.
@@ -441,7 +444,9 @@
     void dropTicketReservations(const ReadyStep& ready);
     bool isReservedForAnother(const Vm& vm, const ReadyStep& ready, const ServiceCapacity& service) const;
     std::size_t tasksOn(const Vm& vm, const TaskId& step) const;
-    bool isWithinQuota(const Job& job, const Room& more) const;
+    /// Returns what the team may still take of each resource; the largest value where it has no limit.
+    Room quotaLeft(const std::string& team) const;
+    bool isWithinQuota(const Job& job, const Room& more) const { return more.fitsIn(quotaLeft(job.team)); }
     void placeTask(const ReadyStep& ready, std::uint32_t index, std::uint32_t run, Vm& vm, Now now);
     StepAdvice* findAdvice(const TaskId& step);
 
@@ -468,6 +473,8 @@
     /// Something has changed that may allow a task to start.
     bool m_placementRequested = true;
     TimePoint m_nextPlacementAt;
+    /// Latest step that took part in a placement pass out of its rank.
+    StepTurn m_lastStepTurn;
     TimePoint m_nextCleanupAt;
     std::set<std::string> m_dirtyJobs;
     std::set<std::string> m_removedJobs;
--- a/include/heatherchute/Work.h
+++ b/include/heatherchute/Work.h
@@ -26,6 +26,12 @@
     Room& operator-=(const Room& other);
     friend Room operator+(Room left, const Room& right) { return left += right; }
     friend Room operator-(Room left, const Room& right) { return left -= right; }
+    /// Resources of that many tasks.
+    friend Room operator*(const Room& room, std::size_t tasks)
+    {
+        const auto count = static_cast<std::int64_t>(tasks);
+        return { room.cpuMilli * count, room.memoryMb * count, room.accelerators * count };
+    }
     friend bool operator==(const Room&, const Room&) = default;
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(Room, cpuMilli, memoryMb, accelerators)
--- a/lib/Cell/Placing.cpp
+++ b/lib/Cell/Placing.cpp
@@ -1,6 +1,7 @@
 #include "ReadyStep.h"
 
 #include <cmath>
+#include <limits>
 
 namespace heatherchute::cell {
 
@@ -26,6 +27,8 @@
 
     /// A step that may have waiting tasks, and the values that determine its rank.
     struct RankedStep {
+        /// The team's quota leaves no room for another task of the step.
+        bool isHeldByQuota = false;
         bool isAboveTeamRate = false;
         RemainingValue value = RemainingValue::Full;
         int priority = 0;
@@ -35,7 +38,8 @@
         std::uint32_t step = 0;
         Job* job = nullptr;
 
-        auto rank() const { return std::tie(isAboveTeamRate, value, priority, deadline, sequence, occurrence, step); }
+        auto rank() const { return std::tie(isHeldByQuota, isAboveTeamRate, value, priority, deadline, sequence, occurrence, step); }
+        auto turn() const { return std::make_tuple(sequence, occurrence, step); }
     };
 
 } // namespace
@@ -66,28 +70,56 @@
     return done <= objective * lateFactor ? RemainingValue::Partial : RemainingValue::None;
 }
 
-std::vector<CellDesk::ReadyStep> CellDesk::readySteps(Now now)
+/// Sorts the steps of a placement pass to the front and returns their number. Most are those of the best
+/// rank. The others are taken in turn from the rest: whatever keeps the best ones from being placed, no step
+/// waits behind them forever. `lastTurn` is the latest step that was taken in turn.
+static std::size_t selectSteps(std::vector<RankedStep>& ranked, StepTurn& lastTurn)
 {
-    /// Maximum number of steps in a placement pass; the most urgent ones are taken.
     constexpr std::size_t maxSteps = 200;
+    constexpr std::size_t maxStepsInTurn = 20;
+    const auto isBetter = [](const auto& left, const auto& right) { return left.rank() < right.rank(); };
+    const auto begin = ranked.begin();
+    if (ranked.size() <= maxSteps) {
+        std::sort(begin, ranked.end(), isBetter);
+        return ranked.size();
+    }
+    const auto rest = begin + (maxSteps - maxStepsInTurn);
+    std::partial_sort(begin, rest, ranked.end(), isBetter);
+    auto restEnd = std::partition(rest, ranked.end(), [&](const auto& entry) { return entry.turn() > lastTurn; });
+    if (restEnd == rest)
+        restEnd = ranked.end();
+    const auto end = rest + std::min<std::ptrdiff_t>(maxStepsInTurn, restEnd - rest);
+    std::partial_sort(rest, end, restEnd, [](const auto& left, const auto& right) { return left.turn() < right.turn(); });
+    lastTurn = std::prev(end)->turn();
+    std::sort(rest, end, isBetter);
+    return static_cast<std::size_t>(end - begin);
+}
+
+std::vector<CellDesk::ReadyStep> CellDesk::readySteps(Now now)
+{
     std::vector<RankedStep> ranked;
+    std::map<std::string, Room> quotaLeftByTeam;
     for (auto& [id, ownerJob] : m_activeJobs) {
         if (isFinal(ownerJob->phase))
             continue;
         const auto* const queue = policyOf(*ownerJob);
         const auto objective = queue ? objectiveOf(*queue, ownerJob->criticalPath) : Milliseconds(0);
+        const auto [left, isNew] = quotaLeftByTeam.try_emplace(ownerJob->team);
+        if (isNew)
+            left->second = quotaLeft(ownerJob->team);
         for (const auto& [number, occurrence] : ownerJob->occurrences) {
             for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
-                if (isReadyToStart(*ownerJob, occurrence, s, now))
-                    ranked.push_back({ ownerJob->isAboveTeamRate, remainingValueOf(*ownerJob, objective, now), queue ? queue->priority : 0, ownerJob->acceptedAt + objective, ownerJob->sequence, number, s, ownerJob });
+                if (!isReadyToStart(*ownerJob, occurrence, s, now))
+                    continue;
+                const auto& spec = ownerJob->spec->steps[s];
+                const auto least = spec.gang ? spec.need * spec.tasks : spec.need;
+                ranked.push_back({ !least.fitsIn(left->second), ownerJob->isAboveTeamRate, remainingValueOf(*ownerJob, objective, now), queue ? queue->priority : 0, ownerJob->acceptedAt + objective, ownerJob->sequence, number, s, ownerJob });
             }
         }
     }
-    const auto count = std::min(maxSteps, ranked.size());
-    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(), [](const auto& left, const auto& right) { return left.rank() < right.rank(); });
-    ranked.resize(count);
+    ranked.resize(selectSteps(ranked, m_lastStepTurn));
     std::vector<ReadyStep> ready;
-    ready.reserve(count);
+    ready.reserve(ranked.size());
     for (const auto& entry : ranked) {
         auto& step = entry.job->occurrences.at(entry.occurrence).steps[entry.step];
         ReadyStep row { entry.job, { entry.job->id, entry.occurrence, entry.step, 0 }, &step, &entry.job->spec->steps[entry.step], entry.job->policy, {}, entry.value == RemainingValue::None, entry.deadline };
@@ -142,16 +174,16 @@
     return slotsIn(available, vm, ready);
 }
 
-bool CellDesk::isWithinQuota(const Job& job, const Room& more) const
+Room CellDesk::quotaLeft(const std::string& teamName) const
 {
-    const auto* const team = m_policy->findTeam(job.team);
+    constexpr auto unlimited = std::numeric_limits<std::int64_t>::max();
+    const auto* const team = m_policy->findTeam(teamName);
     if (!team)
-        return true;
-    const auto used = m_teamUsage.find(job.team);
-    const auto total = used == m_teamUsage.end() ? more : used->second + more;
-    const auto& limit = team->upperLimit;
-    const auto isWithin = [](std::int64_t wanted, std::int64_t most) { return most == 0 || wanted <= most; };
-    return isWithin(total.cpuMilli, limit.cpuMilli) && isWithin(total.memoryMb, limit.memoryMb) && isWithin(total.accelerators, limit.accelerators);
+        return { unlimited, unlimited, unlimited };
+    const auto found = m_teamUsage.find(teamName);
+    const auto used = found == m_teamUsage.end() ? Room() : found->second;
+    const auto left = [](std::int64_t limit, std::int64_t inUse) { return limit == 0 ? unlimited : limit - inUse; };
+    return { left(team->upperLimit.cpuMilli, used.cpuMilli), left(team->upperLimit.memoryMb, used.memoryMb), left(team->upperLimit.accelerators, used.accelerators) };
 }
 
 bool CellDesk::isEligible(const Vm& vm, const ReadyStep& ready) const
@@ -255,11 +287,9 @@
     std::uint32_t lastRun = 0;
     if (ready.spec->gang) {
         std::size_t slots = 0;
-        Room total;
         for (const auto* const vm : vms)
             slots += slotsOn(*vm, ready);
-        for (std::size_t i = 0; i < ready.waitingTasks.size(); ++i)
-            total += ready.spec->need;
+        const auto total = ready.spec->need * ready.waitingTasks.size();
         if (slots < ready.waitingTasks.size() || !keepsReserve(ready.waitingTasks.size()) || !isWithinQuota(*ready.job, total))
             return;
         for (const auto& task : ready.step->tasks)
@@ -286,10 +316,7 @@
     const bool isGang = ready.spec->gang && ready.step->tasks.size() > 1;
     if (!isGang || service.reservedFor || now.steady - ready.job->acceptedAt < maxGangWait)
         return;
-    Room total;
-    for (std::size_t i = 0; i < ready.waitingTasks.size(); ++i)
-        total += ready.spec->need;
-    if (!isWithinQuota(*ready.job, total))
+    if (!isWithinQuota(*ready.job, ready.spec->need * ready.waitingTasks.size()))
         return;
     const auto& advice = ready.step->advice;
     const bool needsAdvice = ready.queue && ready.queue->advice;
--- a/unittests/Cell/CellDeskTest.cpp
+++ b/unittests/Cell/CellDeskTest.cpp
@@ -164,3 +164,36 @@
     REQUIRE(cell.starts.size() == 3);
     CHECK(cell.starts[2].run == first.run + 1);
 }
+
+// Guards against jobs that wait on an idle cell, because more steps of better rank than a placement pass
+// considers are held back by their team's quota.
+TEST_CASE("Steps that a quota holds back do not keep other teams' jobs from being placed")
+{
+    const TeamPolicy held { "held", { "key" }, 1000, { 500, 0, 0 } };
+    const TeamPolicy other { "other", { "key" }, 1, { 48'000, 0, 0 } };
+    auto queue = makeQueue("queue", 2);
+    // The backlog is within the jobs' objective, so that none is refused.
+    queue.stretch = 10;
+    TestCell cell(makePolicy(1, { queue }, { held, other }));
+    for (int i = 0; i < 400; ++i)
+        cell.submit("held-" + std::to_string(i), "queue", "held", makeJob(1));
+    // The jobs after the first are above the team's rate, which ranks them last.
+    for (int i = 0; i < 12; ++i)
+        cell.submit("other-" + std::to_string(i), "queue", "other", makeJob(1));
+    cell.run(Milliseconds(500));
+    CHECK(cell.starts.size() == 12);
+}
+
+// Guards against the same for steps that no VM can run.
+TEST_CASE("Steps that no VM can run do not keep other jobs from being placed")
+{
+    TestCell cell(makePolicy(1, { makeQueue("queue", 2) }, { { "team", { "key" }, 1000, {} } }));
+    auto hopeless = makeJob(1);
+    hopeless.steps[0].requiredLabel = "absent";
+    for (int i = 0; i < 400; ++i)
+        cell.submit("hopeless-" + std::to_string(i), "queue", "team", hopeless);
+    for (int i = 0; i < 12; ++i)
+        cell.submit("other-" + std::to_string(i), "queue", "team", makeJob(1));
+    cell.run(Milliseconds(3000));
+    CHECK(cell.starts.size() == 12);
+}
