Accepted jobs keep the last known policy of their queue and team

Cause: where the policy in force lacks the job's queue, CellDesk::maxAttempts answered 1. A missing configuration was taken for 'no further attempts'. An owner that holds jobs before it has any policy did the same.

Change: the scheduler retains the rows that the policy in force lacks while jobs need them, and stores them with each accepted job for the next owner (lib/Cell/Policies.cpp). All decisions about accepted jobs ask there: attempts, priority, objective, advice and service of the queue, quota of the team. If nothing is known, a job is tried on. Records of earlier versions have no such row and are read as before; earlier versions ignore the new field. Policies are numbered, as a later one may get the address of an earlier one.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "heatherchute/AdviceLanes.h"
+#include "heatherchute/CellState.h"
 #include "heatherchute/StateLog.h"
 #include "heatherchute/Support.h"
 #include "heatherchute/Work.h"
@@ -133,172 +134,6 @@
     TimePoint sentAt;
 };
 
-enum class TaskPhase : std::uint8_t {
-    Waiting,
-    /// A run has been assigned to a VM and may be executing there.
-    Placed,
-    Done,
-};
-
-struct Task {
-    TaskPhase phase = TaskPhase::Waiting;
-    /// Number of the latest run; zero before the first.
-    std::uint32_t run = 0;
-    std::uint32_t failures = 0;
-    std::string checkpoint;
-    TimePoint notBefore;
-};
-
-/// Known responses of the advice service about the VMs that may run a step.
-struct StepAdvice {
-    struct Permission {
-        std::string ticket;
-        std::int64_t incarnation = 0;
-        TimePoint validUntil;
-    };
-    std::map<std::string, Permission> allowed;
-    std::set<std::string> denied;
-    bool requestPending = false;
-    TimePoint nextRequestAt;
-    /// VMs reserved for the step if it is a gang that has waited for a long time.
-    std::set<std::string> reservedVms;
-    /// Number of tasks by VM for which resources are reserved while tickets are requested for a gang
-    /// that would fit now.
-    std::map<std::string, std::uint32_t> ticketReservations;
-};
-
-struct Step {
-    std::vector<Task> tasks;
-    std::uint32_t done = 0;
-    /// Number of runs of the gang in which a member failed, and the last such run.
-    std::uint32_t gangFailures = 0;
-    std::uint32_t lastFailedRun = 0;
-    StepAdvice advice;
-    bool isDone() const { return done == tasks.size(); }
-};
-
-struct Occurrence {
-    std::vector<Step> steps;
-};
-
-struct Job {
-    std::string id;
-    std::string queue;
-    std::string team;
-    std::string service;
-    std::shared_ptr<const JobSpec> spec;
-    std::int64_t acceptedUnixMs = 0;
-    TimePoint acceptedAt;
-    JobPhase phase = JobPhase::Queued;
-    /// Phase reported to clients; a final phase is reported only once it is durable.
-    JobPhase reportedPhase = JobPhase::Queued;
-    bool isDurable = false;
-    std::map<std::uint32_t, Occurrence> occurrences;
-    std::uint32_t nextOccurrence = 0;
-    std::uint32_t completedOccurrences = 0;
-    std::uint32_t placements = 0;
-    TimePoint endedAt;
-    /// Estimated run time of the job's critical path.
-    Milliseconds criticalPath { 0 };
-    /// The job was submitted beyond the rate that the team's weight grants.
-    bool isAboveTeamRate = false;
-    /// Estimated processor time of the whole job, in core-milliseconds.
-    double workCpuMs = 0;
-    /// Order in which this scheduler received the jobs.
-    std::uint64_t sequence = 0;
-    /// Policy of the job's queue in `policySource`; null if the queue no longer exists.
-    const QueuePolicy* policy = nullptr;
-    const CellPolicy* policySource = nullptr;
-};
-
-/// Token bucket that limits a team's submissions to the rate that its weight grants.
-struct TeamRate {
-    /// Number of jobs that the team may still submit within its rate.
-    double tokens = 0;
-    TimePoint refilledAt;
-};
-
-/// One run of a task, from the placement decision until it is certain that the run has ended.
-struct Placement {
-    TaskId task;
-    std::uint32_t run = 0;
-    std::string vm;
-    std::int64_t incarnation = 0;
-    Room need;
-    std::string team;
-    std::string ticket;
-    TimePoint ticketExpiresAt = TimePoint::max();
-    int priority = 0;
-    /// The run is stored, so that commands for it may be sent.
-    bool isDurable = false;
-    bool commandInFlight = false;
-    /// The VM confirmed the start or has listed the run.
-    bool started = false;
-    /// A start command got no response, so the VM may still carry it out.
-    bool startUnconfirmed = false;
-    bool stopRequested = false;
-    bool stopAcknowledged = false;
-    /// Number of stop commands in a row that the VM refused.
-    unsigned refusedStops = 0;
-    TimePoint firstCommandAt;
-    TimePoint nextCommandAt;
-    /// Latest response to a command for the run. Only a heartbeat sent later shows whether the VM
-    /// still has the run.
-    TimePoint lastResponseAt;
-    /// The result of the run no longer matters; the run only occupies resources until it ends.
-    bool abandoned = false;
-};
-
-struct Vm {
-    VmReport report;
-    /// Stable hash of the VM's id.
-    std::uint64_t idHash = 0;
-    bool listed = false;
-    std::int64_t incarnation = 0;
-    Room used;
-    /// Resources reserved for gangs whose tickets are being requested, as of the current placement
-    /// pass.
-    Room ticketReserved;
-    std::set<TaskId> placements;
-    /// The VM has responded in this ownership term, so it rejects lower fencing tokens.
-    bool fenced = false;
-    /// The latest heartbeat got a response, so the incarnation that numbered the listed ends is known.
-    bool isIncarnationKnown = false;
-    unsigned missedHeartbeats = 0;
-    TimePoint lastResponseAt;
-    /// The VM's clock at `clockAt`, in milliseconds; zero if unknown.
-    std::int64_t clockMs = 0;
-    TimePoint clockAt;
-    /// Time by which every lease that the VM may hold has expired.
-    TimePoint leaseEnd;
-    std::uint64_t lastProcessedEnd = 0;
-    std::uint64_t lastAcknowledgedEnd = 0;
-    bool heartbeatInFlight = false;
-    TimePoint nextHeartbeatAt;
-    /// End of the quarantine that follows rejected start commands or failed runs.
-    TimePoint quarantinedUntil;
-    unsigned consecutiveFailures = 0;
-    std::string lastFailedJob;
-};
-
-/// Order in which steps get their turn: the sequence number of the job, the occurrence and the step.
-using StepTurn = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
-
-/// Capacity of one service's VMs during a placement pass.
-struct ServiceCapacity {
-    /// VMs that accept new runs now.
-    std::vector<Vm*> usable;
-    /// Upper bound of the free capacity of any single VM, by resource.
-    Room largestFree;
-    Room free;
-    Room capacity;
-    /// VMs reserved for a gang, and the gang's step.
-    std::set<const Vm*> reservedVms;
-    std::optional<TaskId> reservedFor;
-    /// Processor capacity reserved for the queues of the highest priority.
-    std::int64_t reservedCpuMilli = 0;
-};
-
 class CellDesk {
 public:
     /// `inheritedLeaseEnd` is the time by which every lease granted by an earlier owner has expired.
@@ -368,9 +203,25 @@
     void removeExpiredJobs(Now now);
     void finishJob(Job& job, JobPhase phase, Now now, Json details);
     void stepFinished(Job& job, Occurrence& occurrence, Now now);
-    std::uint32_t maxAttempts(const Job& job) const;
     void markRunning(Job& job);
 
+    // Policies.cpp
+    /// Policy of the queue with this name in force; null if there is none, or no policy yet.
+    const QueuePolicy* findQueue(const std::string& name) const { return m_policy ? m_policy->findQueue(name) : nullptr; }
+    /// Last known policy of the queue of accepted jobs. They outlive their queue, and a scheduler may hold jobs
+    /// before it has a policy. Null if no policy with the queue is known.
+    const QueuePolicy* lastKnownQueue(const std::string& name) const;
+    const TeamPolicy* lastKnownTeam(const std::string& name) const;
+    /// Like lastKnownQueue() for the job's queue, and remembered for the next call.
+    const QueuePolicy* policyOf(Job& job) const;
+    std::uint32_t maxAttempts(const Job& job) const;
+    /// Returns what the team may still take of each resource; the largest value where it has no limit.
+    Room quotaLeft(const std::string& team) const;
+    bool isWithinQuota(const Job& job, const Room& more) const { return more.fitsIn(quotaLeft(job.team)); }
+    /// Encodes the policy under which a job was accepted, for owners whose policy lacks its queue or team.
+    Json encodeAcceptancePolicy(const Job& job) const;
+    void restoreAcceptancePolicy(const Job& job, const Json& row);
+
     // State.cpp
     void flush(Now now);
     /// Returns true if the current commit has taken so long that the store seems to be unavailable.
@@ -429,9 +280,6 @@
     bool exceedsTeamRate(const std::string& team, Now now);
     /// Returns the time in which the whole cell could complete its outstanding work.
     Milliseconds backlog() const;
-    /// Policy of the queue with this name; null if there is none, or no policy yet.
-    const QueuePolicy* findQueue(const std::string& name) const { return m_policy ? m_policy->findQueue(name) : nullptr; }
-    const QueuePolicy* policyOf(Job& job) const;
     bool isEligible(const Vm& vm, const ReadyStep& ready) const;
     std::size_t slotsIn(const Room& available, const Vm& vm, const ReadyStep& ready) const;
     /// Returns how many tasks of the step fit on the VM now, beside the reservations of other steps.
@@ -444,15 +292,16 @@
     void dropTicketReservations(const ReadyStep& ready);
     bool isReservedForAnother(const Vm& vm, const ReadyStep& ready, const ServiceCapacity& service) const;
     std::size_t tasksOn(const Vm& vm, const TaskId& step) const;
-    /// Returns what the team may still take of each resource; the largest value where it has no limit.
-    Room quotaLeft(const std::string& team) const;
-    bool isWithinQuota(const Job& job, const Room& more) const { return more.fitsIn(quotaLeft(job.team)); }
     void placeTask(const ReadyStep& ready, std::uint32_t index, std::uint32_t run, Vm& vm, Now now);
     StepAdvice* findAdvice(const TaskId& step);
 
     CellLimits m_limits;
     TimePoint m_inheritedLeaseEnd;
     CellPolicyPointer m_policy;
+    /// Incremented with each policy. Its address does not identify it, as a later one may get the same.
+    std::uint64_t m_policyNumber = 1;
+    std::map<std::string, RetainedRow<QueuePolicy>> m_retainedQueues;
+    std::map<std::string, RetainedRow<TeamPolicy>> m_retainedTeams;
     std::map<std::string, Job> m_jobs;
     std::map<std::string, Vm> m_vms;
     std::map<TaskId, Placement> m_placements;
--- /dev/null
+++ b/include/heatherchute/CellState.h
@@ -0,0 +1,186 @@
+/// State that the scheduler of a cell keeps of its jobs, their runs, and the VMs.
+#pragma once
+
+#include "heatherchute/Work.h"
+
+#include <map>
+#include <set>
+
+namespace heatherchute::cell {
+
+enum class TaskPhase : std::uint8_t {
+    Waiting,
+    /// A run has been assigned to a VM and may be executing there.
+    Placed,
+    Done,
+};
+
+struct Task {
+    TaskPhase phase = TaskPhase::Waiting;
+    /// Number of the latest run; zero before the first.
+    std::uint32_t run = 0;
+    std::uint32_t failures = 0;
+    std::string checkpoint;
+    TimePoint notBefore;
+};
+
+/// Known responses of the advice service about the VMs that may run a step.
+struct StepAdvice {
+    struct Permission {
+        std::string ticket;
+        std::int64_t incarnation = 0;
+        TimePoint validUntil;
+    };
+    std::map<std::string, Permission> allowed;
+    std::set<std::string> denied;
+    bool requestPending = false;
+    TimePoint nextRequestAt;
+    /// VMs reserved for the step if it is a gang that has waited for a long time.
+    std::set<std::string> reservedVms;
+    /// Number of tasks by VM for which resources are reserved while tickets are requested for a gang
+    /// that would fit now.
+    std::map<std::string, std::uint32_t> ticketReservations;
+};
+
+struct Step {
+    std::vector<Task> tasks;
+    std::uint32_t done = 0;
+    /// Number of runs of the gang in which a member failed, and the last such run.
+    std::uint32_t gangFailures = 0;
+    std::uint32_t lastFailedRun = 0;
+    StepAdvice advice;
+    bool isDone() const { return done == tasks.size(); }
+};
+
+struct Occurrence {
+    std::vector<Step> steps;
+};
+
+struct Job {
+    std::string id;
+    std::string queue;
+    std::string team;
+    std::string service;
+    std::shared_ptr<const JobSpec> spec;
+    std::int64_t acceptedUnixMs = 0;
+    TimePoint acceptedAt;
+    JobPhase phase = JobPhase::Queued;
+    /// Phase reported to clients; a final phase is reported only once it is durable.
+    JobPhase reportedPhase = JobPhase::Queued;
+    bool isDurable = false;
+    std::map<std::uint32_t, Occurrence> occurrences;
+    std::uint32_t nextOccurrence = 0;
+    std::uint32_t completedOccurrences = 0;
+    std::uint32_t placements = 0;
+    TimePoint endedAt;
+    /// Estimated run time of the job's critical path.
+    Milliseconds criticalPath { 0 };
+    /// The job was submitted beyond the rate that the team's weight grants.
+    bool isAboveTeamRate = false;
+    /// Estimated processor time of the whole job, in core-milliseconds.
+    double workCpuMs = 0;
+    /// Order in which this scheduler received the jobs.
+    std::uint64_t sequence = 0;
+    /// Last known policy of the job's queue, as of the scheduler's policy number `policyNumber`; null if
+    /// no policy with the queue is known.
+    const QueuePolicy* policy = nullptr;
+    std::uint64_t policyNumber = 0;
+};
+
+/// What the operators' policies last said of a queue or a team that the policy in force lacks.
+template <typename Row>
+struct RetainedRow {
+    /// Version of the policy that has the row.
+    std::uint64_t version = 0;
+    Row row;
+};
+
+/// Token bucket that limits a team's submissions to the rate that its weight grants.
+struct TeamRate {
+    /// Number of jobs that the team may still submit within its rate.
+    double tokens = 0;
+    TimePoint refilledAt;
+};
+
+/// One run of a task, from the placement decision until it is certain that the run has ended.
+struct Placement {
+    TaskId task;
+    std::uint32_t run = 0;
+    std::string vm;
+    std::int64_t incarnation = 0;
+    Room need;
+    std::string team;
+    std::string ticket;
+    TimePoint ticketExpiresAt = TimePoint::max();
+    int priority = 0;
+    /// The run is stored, so that commands for it may be sent.
+    bool isDurable = false;
+    bool commandInFlight = false;
+    /// The VM confirmed the start or has listed the run.
+    bool started = false;
+    /// A start command got no response, so the VM may still carry it out.
+    bool startUnconfirmed = false;
+    bool stopRequested = false;
+    bool stopAcknowledged = false;
+    /// Number of stop commands in a row that the VM refused.
+    unsigned refusedStops = 0;
+    TimePoint firstCommandAt;
+    TimePoint nextCommandAt;
+    /// Latest response to a command for the run. Only a heartbeat sent later shows whether the VM
+    /// still has the run.
+    TimePoint lastResponseAt;
+    /// The result of the run no longer matters; the run only occupies resources until it ends.
+    bool abandoned = false;
+};
+
+struct Vm {
+    VmReport report;
+    /// Stable hash of the VM's id.
+    std::uint64_t idHash = 0;
+    bool listed = false;
+    std::int64_t incarnation = 0;
+    Room used;
+    /// Resources reserved for gangs whose tickets are being requested, as of the current placement
+    /// pass.
+    Room ticketReserved;
+    std::set<TaskId> placements;
+    /// The VM has responded in this ownership term, so it rejects lower fencing tokens.
+    bool fenced = false;
+    /// The latest heartbeat got a response, so the incarnation that numbered the listed ends is known.
+    bool isIncarnationKnown = false;
+    unsigned missedHeartbeats = 0;
+    TimePoint lastResponseAt;
+    /// The VM's clock at `clockAt`, in milliseconds; zero if unknown.
+    std::int64_t clockMs = 0;
+    TimePoint clockAt;
+    /// Time by which every lease that the VM may hold has expired.
+    TimePoint leaseEnd;
+    std::uint64_t lastProcessedEnd = 0;
+    std::uint64_t lastAcknowledgedEnd = 0;
+    bool heartbeatInFlight = false;
+    TimePoint nextHeartbeatAt;
+    /// End of the quarantine that follows rejected start commands or failed runs.
+    TimePoint quarantinedUntil;
+    unsigned consecutiveFailures = 0;
+    std::string lastFailedJob;
+};
+
+/// Order in which steps get their turn: the sequence number of the job, the occurrence and the step.
+using StepTurn = std::tuple<std::uint64_t, std::uint32_t, std::uint32_t>;
+
+/// Capacity of one service's VMs during a placement pass.
+struct ServiceCapacity {
+    /// VMs that accept new runs now.
+    std::vector<Vm*> usable;
+    /// Upper bound of the free capacity of any single VM, by resource.
+    Room largestFree;
+    Room free;
+    Room capacity;
+    /// VMs reserved for a gang, and the gang's step.
+    std::set<const Vm*> reservedVms;
+    std::optional<TaskId> reservedFor;
+    /// Processor capacity reserved for the queues of the highest priority.
+    std::int64_t reservedCpuMilli = 0;
+};
+
+} // namespace heatherchute::cell
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -8,11 +8,6 @@
 {
 }
 
-void CellDesk::setPolicy(CellPolicyPointer policy)
-{
-    m_policy = std::move(policy);
-}
-
 Job* CellDesk::job(const std::string& id)
 {
     const auto found = m_jobs.find(id);
@@ -147,12 +142,6 @@
     return result;
 }
 
-std::uint32_t CellDesk::maxAttempts(const Job& job) const
-{
-    const auto* const queue = findQueue(job.queue);
-    return queue ? queue->maxAttempts : 1;
-}
-
 void CellDesk::createDueOccurrences(Job& job, Now now)
 {
     /// Maximum number of unfinished occurrences of a job; the next ones wait, even if they are due.
--- a/lib/Cell/Placing.cpp
+++ b/lib/Cell/Placing.cpp
@@ -1,19 +1,9 @@
 #include "ReadyStep.h"
 
 #include <cmath>
-#include <limits>
 
 namespace heatherchute::cell {
 
-const QueuePolicy* CellDesk::policyOf(Job& job) const
-{
-    if (job.policySource != m_policy.get()) {
-        job.policy = m_policy->findQueue(job.queue);
-        job.policySource = m_policy.get();
-    }
-    return job.policy;
-}
-
 namespace {
 
     /// Value that completing a job can still have. Jobs of higher value are served first.
@@ -174,18 +164,6 @@
     return slotsIn(available, vm, ready);
 }
 
-Room CellDesk::quotaLeft(const std::string& teamName) const
-{
-    constexpr auto unlimited = std::numeric_limits<std::int64_t>::max();
-    const auto* const team = m_policy->findTeam(teamName);
-    if (!team)
-        return { unlimited, unlimited, unlimited };
-    const auto found = m_teamUsage.find(teamName);
-    const auto used = found == m_teamUsage.end() ? Room() : found->second;
-    const auto left = [](std::int64_t limit, std::int64_t inUse) { return limit == 0 ? unlimited : limit - inUse; };
-    return { left(team->upperLimit.cpuMilli, used.cpuMilli), left(team->upperLimit.memoryMb, used.memoryMb), left(team->upperLimit.accelerators, used.accelerators) };
-}
-
 bool CellDesk::isEligible(const Vm& vm, const ReadyStep& ready) const
 {
     const auto& label = ready.spec->requiredLabel;
--- a/lib/Cell/State.cpp
+++ b/lib/Cell/State.cpp
@@ -9,7 +9,7 @@
 
 std::string CellDesk::encodeSubmission(const Job& job) const
 {
-    return encodeCbor({ { "queue", job.queue }, { "team", job.team }, { "service", job.service }, { "accepted", job.acceptedUnixMs }, { "spec", *job.spec } });
+    return encodeCbor({ { "queue", job.queue }, { "team", job.team }, { "service", job.service }, { "accepted", job.acceptedUnixMs }, { "spec", *job.spec }, { "policy", encodeAcceptancePolicy(job) } });
 }
 
 /// Encodes a task as [phase, run, failures, checkpoint, VM, incarnation]; trailing default values
@@ -243,6 +243,9 @@
         job.team = submission.at("team");
         job.service = submission.at("service");
         job.acceptedUnixMs = submission.at("accepted");
+        // Earlier versions of this software don't store it.
+        if (const auto policy = submission.find("policy"); policy != submission.end())
+            restoreAcceptancePolicy(job, *policy);
         job.spec = std::make_shared<const JobSpec>(submission.at("spec").get<JobSpec>());
         job.phase = static_cast<JobPhase>(progress.at("phase").get<int>());
         job.nextOccurrence = progress.at("next");
@@ -296,7 +299,7 @@
         vm.report.id = placement.vm;
         if (vm.leaseEnd < m_inheritedLeaseEnd)
             vm.leaseEnd = m_inheritedLeaseEnd;
-        const auto* const queue = findQueue(job.queue);
+        const auto* const queue = lastKnownQueue(job.queue);
         placement.priority = queue ? queue->priority : 1;
         adjustUsage(placement, vm, 1);
         placement.stopRequested = isFinal(job.phase);
--- a/unittests/Cell/CellDeskTest.cpp
+++ b/unittests/Cell/CellDeskTest.cpp
@@ -62,6 +62,12 @@
 
     void submit(const std::string& id, const std::string& queue, const std::string& team, JobSpec spec) { desk->submit(m_nextCall++, id, queue, team, std::move(spec), now); }
 
+    std::string phase(const std::string& id) const
+    {
+        const auto phase = desk->query(id);
+        return phase ? std::string(jobPhaseName(*phase)) : "unknown";
+    }
+
     std::unique_ptr<CellDesk> desk;
     Now now { TimePoint(Seconds(100)), 1'700'000'000'000 };
     std::vector<RunningTask> running;
@@ -72,7 +78,7 @@
 private:
     void begin(CellPolicyPointer policy)
     {
-        desk = std::make_unique<CellDesk>(CellLimits(), now.steady);
+        desk = std::make_unique<CellDesk>(CellLimits(), now.steady + Seconds(9));
         if (policy)
             desk->setPolicy(std::move(policy));
         std::map<std::string, StoredJob> jobs;
@@ -197,3 +203,75 @@
     cell.run(Milliseconds(3000));
     CHECK(cell.starts.size() == 12);
 }
+
+// Guards against jobs that fail for good at their first failed run, because their queue was removed while
+// they ran.
+TEST_CASE("A job keeps its attempts while its queue is removed")
+{
+    const auto queue = makeQueue("queue", 3);
+    TestCell cell(makePolicy(1, { queue }));
+    cell.submit(jobId, "queue", "team", makeJob(1));
+    cell.run(Milliseconds(200));
+    REQUIRE(cell.starts.size() == 1);
+    cell.desk->setPolicy(makePolicy(2, {}));
+    const bool isOwnerChanged = GENERATE(false, true);
+    for (std::size_t attempt = 1; attempt < queue.maxAttempts; ++attempt) {
+        const auto& start = cell.starts.back();
+        cell.desk->onStart(start.vm, start.task, start.run, StartAnswer::Started, cell.now);
+        cell.running = { { start.task, start.run, {}, 0 } };
+        cell.run(Milliseconds(100));
+        // The next owner knows of no policy that has the queue.
+        if (isOwnerChanged)
+            cell.changeOwner(makePolicy(2, {}));
+        cell.run(Milliseconds(100));
+        cell.running.clear();
+        cell.endRun(start, RunEnd::Failed);
+        cell.run(Milliseconds(200));
+        CHECK(cell.phase(jobId) == "running");
+        REQUIRE(cell.starts.size() == attempt + 1);
+    }
+    cell.endRun(cell.starts.back(), RunEnd::Failed);
+    cell.run(Milliseconds(200));
+    CHECK(cell.phase(jobId) == "failed");
+}
+
+// Guards against the same for an owner that takes over jobs before it has read any policy.
+TEST_CASE("An owner without a policy does not fail a job at its first failed run")
+{
+    TestCell cell(makePolicy(1, { makeQueue("queue", 2) }));
+    cell.submit(jobId, "queue", "team", makeJob(1));
+    cell.run(Milliseconds(200));
+    REQUIRE(cell.starts.size() == 1);
+    const auto start = cell.starts.back();
+    cell.desk->onStart(start.vm, start.task, start.run, StartAnswer::Started, cell.now);
+    cell.running = { { start.task, start.run, {}, 0 } };
+    cell.changeOwner(nullptr);
+    cell.run(Milliseconds(100));
+    cell.running.clear();
+    cell.endRun(start, RunEnd::Failed);
+    cell.run(Milliseconds(200));
+    CHECK(cell.phase(jobId) == "running");
+    cell.desk->setPolicy(makePolicy(2, { makeQueue("queue", 2) }));
+    cell.run(Milliseconds(200));
+    CHECK(cell.starts.size() == 2);
+}
+
+// Guards against starts without a ticket, at the wrong priority or beyond a quota, for jobs whose queue or
+// team was removed.
+TEST_CASE("Jobs of a removed queue and team keep their quota")
+{
+    auto queue = makeQueue("queue", 2);
+    const TeamPolicy team { "team", { "key" }, 100, { 1000, 0, 0 } };
+    TestCell cell(makePolicy(1, { queue }, { team }));
+    cell.submit(jobId, "queue", "team", makeJob(3));
+    cell.run(Milliseconds(200));
+    REQUIRE(cell.starts.size() == 1);
+    cell.running = { { cell.starts[0].task, cell.starts[0].run, {}, 0 } };
+    cell.desk->onStart(cell.starts[0].vm, cell.starts[0].task, cell.starts[0].run, StartAnswer::Started, cell.now);
+    cell.desk->setPolicy(makePolicy(2, {}, {}));
+    cell.run(Milliseconds(500));
+    CHECK(cell.starts.size() == 1);
+    cell.changeOwner(makePolicy(2, {}, {}));
+    cell.run(Milliseconds(500));
+    CHECK(cell.starts.size() == 1);
+}
