A successor counts leases from when its predecessor can't extend them any more

Cause: a daemon that suspects the owner because of a closed link claims the cell before the owner's lease in the store is over. It counted the leases that the owner had granted to VMs from its own claim, but an owner that is cut off from the store acts on its last renewal for up to 1.4 s, and extends the leases of the VMs on its side. When the cut healed in that span, the VM's lease had never lapsed, and the end of the first run was acknowledged beside the second.

Change: ElectionDesk::predecessorsEnd, from the answer to the claim, by the lease's duration less its margin. A renewal is confirmed only with the owner's own record in the store, which is read with it: otherwise an owner whose record was replaced could go on by renewing a lease that nobody revoked.

Tests: 'A successor counts with its predecessor ...' fails (111 checks) with the leases counted from the claim; 'A renewed lease confirms the ownership only ...' is new with the function it tests.

--- a/include/heatherchute/Election.h
+++ b/include/heatherchute/Election.h
@@ -74,10 +74,17 @@
     Renewed,
     /// The store reports that the lease has expired or was revoked.
     Ended,
+    /// The lease goes on, but the store has the record of another claim.
+    Replaced,
     /// The store did not respond.
     Unknown,
 };
 
+/// Combines the result of renewing the lease with the revision of the owner record that was read together
+/// with it; nullopt if the store did not respond, zero if it has no record. A lease outlives a record that
+/// was replaced, so that it alone proves nothing.
+RenewalOutcome confirmRenewal(RenewalOutcome lease, std::optional<std::uint64_t> recordRevision, std::uint64_t fencingToken);
+
 struct ElectionSettings {
     /// Name of this daemon.
     std::string daemon;
@@ -124,6 +131,9 @@
     Tenure tenure() const { return m_ownershipState; }
     bool isOwner() const { return m_ownershipState == Tenure::Owner || m_ownershipState == Tenure::Unconfirmed; }
     std::uint64_t fencingToken() const { return m_fencingToken; }
+    /// Returns the time by which no earlier owner considers its ownership confirmed any more. Meaningful while
+    /// isOwner().
+    TimePoint predecessorsEnd() const { return m_predecessorsEnd; }
     /// Latest known record; none when the store has none.
     const std::optional<OwnerRecord>& record() const { return m_record; }
     /// Returns the pending actions and clears them.
@@ -150,6 +160,7 @@
     std::uint64_t m_lease = 0;
     std::uint64_t m_fencingToken = 0;
     TimePoint m_validUntil;
+    TimePoint m_predecessorsEnd;
     TimePoint m_renewAt;
     bool m_isRenewing = false;
     std::vector<ElectionAction> m_actions;
--- a/lib/Cell/Election.cpp
+++ b/lib/Cell/Election.cpp
@@ -13,6 +13,15 @@
     return nameOf(names, tenure);
 }
 
+RenewalOutcome confirmRenewal(RenewalOutcome lease, std::optional<std::uint64_t> recordRevision, std::uint64_t fencingToken)
+{
+    if (lease == RenewalOutcome::Ended)
+        return lease;
+    if (recordRevision && *recordRevision != fencingToken)
+        return RenewalOutcome::Replaced;
+    return recordRevision ? lease : RenewalOutcome::Unknown;
+}
+
 ElectionDesk::ElectionDesk(ElectionSettings settings, std::uint64_t seed)
     : m_settings(std::move(settings))
     , m_random(seed | 1U)
@@ -72,6 +81,9 @@
     m_lease = lease;
     m_fencingToken = revision;
     m_validUntil = sentAt + m_settings.lease - m_settings.leaseMargin;
+    // A claim replaces the record of an owner whose lease may have been renewed a moment before, as when its
+    // link was closed. It acts on that renewal as long as this owner does on its own.
+    m_predecessorsEnd = now + m_settings.lease - m_settings.leaseMargin;
     m_renewAt = now + m_settings.renewInterval;
     m_isRenewing = false;
     m_actions.emplace_back(OwnershipBegan { revision });
@@ -84,6 +96,8 @@
     m_isRenewing = false;
     if (outcome == RenewalOutcome::Ended)
         return endOwnership("the lease of the owner record has ended", now);
+    if (outcome == RenewalOutcome::Replaced)
+        return endOwnership("the store has the owner record of another claim", now);
     if (outcome == RenewalOutcome::Unknown) {
         // A renewal without a response is retried soon, while the lease may still be valid.
         constexpr Milliseconds renewalRetryDelay { 100 };
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -15,7 +15,7 @@
 Milliseconds electionLease(const NodeSettings& settings);
 /// Duration of the leases that the owner grants to VMs.
 Milliseconds vmLease(const NodeSettings& settings);
-/// Time after a claim within which every VM lease granted by an earlier owner has expired.
+/// Time within which a VM lease has expired that an earlier owner grants at its beginning.
 Milliseconds inheritedLease(const NodeSettings& settings);
 
 /// The other components of the daemon.
@@ -203,7 +203,6 @@
     cell::CellPolicyPointer m_policy;
 
     cell::ElectionDesk m_election;
-    TimePoint m_claimSentAt;
     /// Incremented with each ownership term, to tell results of an earlier term from current ones.
     std::uint64_t m_ownershipNumber = 0;
     /// Shared with the fibers of the current ownership term; set when the term ends.
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -161,23 +161,36 @@
         }
         m_components.outbound->postToCore([this, nonce = record.nonce, outcome, lease = record.lease, revision, sentAt] {
             logEvent(LogLevel::Info, "claim_ended", { { "won", outcome == cell::ClaimOutcome::Won }, { "known", outcome != cell::ClaimOutcome::Unknown }, { "revision", revision } });
-            m_claimSentAt = sentAt;
             m_election.onClaim(nonce, outcome, lease, revision, sentAt, Clock::now());
             schedulePass();
         });
     });
 }
 
+static cell::RenewalOutcome renewClaim(platform::StoreClient& store, std::uint64_t lease, std::uint64_t fencingToken)
+{
+    auto outcome = cell::RenewalOutcome::Unknown;
+    switch (store.renewLease(lease)) {
+    case platform::RenewOutcome::Renewed:
+        outcome = cell::RenewalOutcome::Renewed;
+        break;
+    case platform::RenewOutcome::Ended:
+        return cell::RenewalOutcome::Ended;
+    case platform::RenewOutcome::Unknown:
+        return outcome;
+    }
+    const auto record = store.get(ownerKey);
+    std::optional<std::uint64_t> revision;
+    if (record)
+        revision = record.value() ? record.value()->revision : 0;
+    return cell::confirmRenewal(outcome, revision, fencingToken);
+}
+
 void NodeCore::run(const cell::RenewClaim& renew)
 {
-    m_components.outbound->runFiber([this, lease = renew.lease] {
+    m_components.outbound->runFiber([this, lease = renew.lease, fencingToken = m_election.fencingToken()] {
         const auto sentAt = Clock::now();
-        const auto renewed = m_components.outbound->store().renewLease(lease);
-        auto outcome = cell::RenewalOutcome::Unknown;
-        if (renewed == platform::RenewOutcome::Renewed)
-            outcome = cell::RenewalOutcome::Renewed;
-        else if (renewed == platform::RenewOutcome::Ended)
-            outcome = cell::RenewalOutcome::Ended;
+        const auto outcome = renewClaim(m_components.outbound->store(), lease, fencingToken);
         m_components.outbound->postToCore([this, lease, outcome, sentAt] {
             const auto before = m_election.tenure();
             m_election.onRenewal(lease, outcome, sentAt, Clock::now());
@@ -315,8 +328,7 @@
                 limits.vmLease = vmLease(m_settings);
                 limits.jobRetention = m_settings.jobRetention + Seconds(10);
                 limits.spreadFactor = m_settings.spreadFactor;
-                // No earlier owner extends a VM lease after its record in the store can be replaced.
-                const auto inheritedLeaseEnd = m_claimSentAt + inheritedLease(m_settings);
+                const auto inheritedLeaseEnd = m_election.predecessorsEnd() + inheritedLease(m_settings);
                 m_scheduler = std::make_unique<cell::CellDesk>(limits, inheritedLeaseEnd);
                 if (m_policy)
                     m_scheduler->setPolicy(m_policy);
--- a/unittests/Cell/ElectionTest.cpp
+++ b/unittests/Cell/ElectionTest.cpp
@@ -148,3 +148,48 @@
     CHECK_FALSE(awaitClaim(election, now, Milliseconds(600)));
     CHECK(awaitClaim(election, now, Milliseconds(400)));
 }
+
+// Guards against a successor that takes runs for lost while the VM's lease holds: its predecessor was cut off from
+// it just after a renewal, and extends leases until that renewal is over.
+TEST_CASE("A successor counts with its predecessor until the predecessor's last renewal is over")
+{
+    auto now = start;
+    auto predecessor = makeElection("b");
+    predecessor.onRecord(std::nullopt, now);
+    const auto first = awaitClaim(predecessor, now, Milliseconds(500));
+    REQUIRE(first);
+    predecessor.onClaim(first->nonce, ClaimOutcome::Won, 5, 4, now, now);
+    auto successor = makeElection("a");
+    successor.onRecord(makeRecord("b", 4), now);
+    // The store renews the lease, and from then on the predecessor is cut off.
+    predecessor.onRenewal(5, RenewalOutcome::Renewed, now, now);
+    successor.suspectOwner(now);
+    const auto claim = awaitClaim(successor, now, Milliseconds(500));
+    REQUIRE(claim);
+    successor.onClaim(claim->nonce, ClaimOutcome::Won, 6, 12, now, now);
+    while (predecessor.tenure() == Tenure::Owner) {
+        CHECK(now < successor.predecessorsEnd());
+        now += Milliseconds(10);
+        predecessor.tick(now);
+    }
+}
+
+// Guards against an owner that goes on by its lease although another claim has replaced its record: a lease that is
+// not revoked can be renewed for ever.
+TEST_CASE("A renewed lease confirms the ownership only with the owner's own record")
+{
+    constexpr std::uint64_t token = 12;
+    CHECK(confirmRenewal(RenewalOutcome::Renewed, token, token) == RenewalOutcome::Renewed);
+    CHECK(confirmRenewal(RenewalOutcome::Renewed, 40, token) == RenewalOutcome::Replaced);
+    CHECK(confirmRenewal(RenewalOutcome::Renewed, 0, token) == RenewalOutcome::Replaced);
+    CHECK(confirmRenewal(RenewalOutcome::Renewed, std::nullopt, token) == RenewalOutcome::Unknown);
+    CHECK(confirmRenewal(RenewalOutcome::Ended, std::nullopt, token) == RenewalOutcome::Ended);
+    auto now = start;
+    auto election = makeElection("a");
+    election.onRecord(std::nullopt, now);
+    const auto claim = awaitClaim(election, now, Milliseconds(500));
+    REQUIRE(claim);
+    election.onClaim(claim->nonce, ClaimOutcome::Won, 77, token, now, now);
+    election.onRenewal(77, RenewalOutcome::Replaced, now, now);
+    CHECK_FALSE(election.isOwner());
+}
