--- a/lib/Cell/Advice.cpp
+++ b/lib/Cell/Advice.cpp
@@ -21,12 +21,11 @@
         const auto vm = m_vms.find(id);
         if (vm == m_vms.end())
             continue;
-        for (std::uint32_t i = 0; i < tasks; ++i) {
-            if (sign > 0)
-                vm->second.ticketReserved += ready.spec->need;
-            else
-                vm->second.ticketReserved -= ready.spec->need;
-        }
+        const auto reserved = ready.spec->need * tasks;
+        if (sign > 0)
+            vm->second.ticketReserved += reserved;
+        else
+            vm->second.ticketReserved -= reserved;
     }
 }
 
@@ -74,9 +73,7 @@
     /// Pause after a request that did not lead to a start.
     constexpr Milliseconds requestPause { 300 };
     auto& advice = ready.step->advice;
-    Room total;
-    for (std::size_t i = 0; i < ready.waitingTasks.size(); ++i)
-        total += ready.spec->need;
+    const auto total = ready.spec->need * ready.waitingTasks.size();
     const bool hasTickets = std::any_of(advice.allowed.begin(), advice.allowed.end(), [&](const auto& entry) { return entry.second.validUntil > now.steady; });
     if (advice.requestPending || hasTickets)
         service.free -= total;
--- a/lib/Cell/Placing.cpp
+++ b/lib/Cell/Placing.cpp
@@ -157,10 +157,8 @@
 {
     auto available = vm.report.capacity - vm.used - vm.ticketReserved;
     const auto own = ready.step->advice.ticketReservations.find(vm.report.id);
-    if (own != ready.step->advice.ticketReservations.end()) {
-        for (std::uint32_t i = 0; i < own->second; ++i)
-            available += ready.spec->need;
-    }
+    if (own != ready.step->advice.ticketReservations.end())
+        available += ready.spec->need * own->second;
     return slotsIn(available, vm, ready);
 }
 
