Soak: the next owner has the jobs before the policy; a job fails only after all its attempts

What the operators saw (LOST): an accepted job shown as failed, and no task had failed so often. Cause, as in: an owner without a policy took one attempt for the limit.

The judge is stricter: until now it only asked for any failed run that was noted, now also for as many failed runs of one task (or of one gang) as a job has attempts.

--- a/test/cell/promises.py
+++ b/test/cell/promises.py
@@ -129,6 +129,15 @@
     def is_done(self, job, step, index):
         return any(row["how"] == "done" for row in self.runs[f"{job}.0.{step}.{index}"])
 
+    def failed_runs(self, job):
+        """The most failed runs of one task; a run of a gang counts once, whichever members failed."""
+        failed = defaultdict(set)
+        for step, index in job.tasks():
+            for row in self.runs[f"{job.id}.0.{step}.{index}"]:
+                if row["how"] == "failed":
+                    failed[step, 0 if job.steps[step].get("gang") else index].add(row["run"])
+        return max(map(len, failed.values()), default=0)
+
     # From the callers.
 
     def submitted(self, job, status):
@@ -156,6 +165,8 @@
             self.broken("nothing ends without a cause", f"{job.id} is shown as cancelled")
         if state == "failed" and all(self.noted_failures[f"{job.id}.0.{step}.{index}"] == 0 for step, index in job.tasks()):
             self.broken("nothing ends without a cause", f"{job.id} is shown as failed")
+        if state == "failed" and self.failed_runs(job) < MAX_ATTEMPTS:
+            self.broken("a job fails only after all attempts", f"{job.id} is shown as failed after {self.failed_runs(job)} failed runs of a task")
 
     def unanswered(self, daemon, what, planned):
         """A call of a caller ended without a whole answer."""
--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -195,6 +195,9 @@
         if mode == "lost":
             store.lost = 0.3
             return lambda: setattr(store, "lost", 0.0)
+        if mode == "no-policy":
+            store.silent_prefix = "op/"
+            return lambda: setattr(store, "silent_prefix", None)
         store.mode = mode
         return lambda: setattr(store, "mode", "up")
 
--- a/test/cell/store.py
+++ b/test/cell/store.py
@@ -21,6 +21,8 @@
         self.mode = "up"
         self.lost = 0.0
         self.delay = 0.0
+        # Calls that read keys with this prefix get no answer.
+        self.silent_prefix = None
 
     def note(self, key, deleted):
         if deleted:
@@ -66,6 +68,9 @@
             return None
         if self.mode == "refuse":
             return 503, {}
+        read = request.query.get("key") or request.query.get("path_prefix") or ""
+        if self.silent_prefix and read.startswith(self.silent_prefix):
+            return None
         if self.delay:
             await asyncio.sleep(self.random.uniform(0.3, 1.0) * self.delay)
         late = self.lost and self.random.random() < self.lost
