Delegates log commands that come late or from a replaced owner, owners log cancellations of unknown jobs

The three hypotheses about starts of cancelled jobs can't be told apart by today's logs: a delegate logs nothing, and a cancelling that is answered with 410 looks the same whether the job never existed, couldn't be read, or is still on its way.

Daemons tell each other their clock in each hello (the boot clock, which counts the time of a suspended machine), and the owner stamps delegated commands with the time on the recipient's clock. The delegate logs a batch that is older than the owner waits for, or whose token is lower than the newest record that it has read or heard of. No decision changes.

--- a/include/heatherchute/Metrics.h
+++ b/include/heatherchute/Metrics.h
@@ -24,7 +24,7 @@
     ~Metrics();
 
     void observe(Measure measure, const std::string& className, const std::string& team, Duration time);
-    void count(const std::string& counter, const std::string& label);
+    void count(const std::string& counter, const std::string& label, std::uint64_t amount = 1);
     void gauge(const std::string& name, double value);
     std::string text() const;
 
--- a/include/heatherchute/Support.h
+++ b/include/heatherchute/Support.h
@@ -28,6 +28,10 @@
 using Milliseconds = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
 
+/// Milliseconds since the start of this machine. Unlike Clock, it counts the time for which the machine was
+/// suspended. Never compared between two VMs.
+std::int64_t bootTimeMs();
+
 /// What an error says about the work it answers for.
 enum class Outcome : std::uint8_t {
     NotRun,
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -95,6 +95,7 @@
 {
     auto* const known = job(id);
     if (!known) {
+        m_actions.emplace_back(Decision { "cancel_of_unknown_job", { { "job", id }, { "unreadable", isUnreadable(id) }, { "confirmed", m_isOwnershipConfirmed } } });
         m_actions.emplace_back(AnswerCall { call, ErrorKind::NotFound });
         return;
     }
--- a/lib/Metrics/Metrics.cpp
+++ b/lib/Metrics/Metrics.cpp
@@ -78,10 +78,10 @@
     m_state->add(measure, "team", team, seconds);
 }
 
-void Metrics::count(const std::string& counter, const std::string& label)
+void Metrics::count(const std::string& counter, const std::string& label, std::uint64_t amount)
 {
     auto& labels = m_state->counters[counter];
-    ++labels[labels.size() >= maxSeries && !labels.contains(label) ? "other" : label];
+    labels[labels.size() >= maxSeries && !labels.contains(label) ? "other" : label] += amount;
 }
 
 void Metrics::gauge(const std::string& name, double value)
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -64,6 +64,8 @@
         PeerHello hello;
         TimePoint lastHeard;
         TimePoint lastHello;
+        /// bootTimeMs() at which `hello` arrived.
+        std::int64_t helloAtMs = 0;
         /// Since when the peer is known to have an older policy; unset if it has the same or a newer one.
         std::optional<TimePoint> policyLagsSince;
     };
--- a/lib/Node/Messages.h
+++ b/lib/Node/Messages.h
@@ -24,8 +24,10 @@
     /// cannot read it from the store. Empty and zero if there is none.
     std::string ownerAddress;
     std::uint64_t ownerRevision = 0;
+    /// The sender's bootTimeMs(); zero from versions that don't send it.
+    std::int64_t clockMs = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PeerHello, daemon, failureDomain, incarnation, policyVersion, ownsCell, peerAddress, fencingToken, processorShare, ownerAddress, ownerRevision)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PeerHello, daemon, failureDomain, incarnation, policyVersion, ownsCell, peerAddress, fencingToken, processorShare, ownerAddress, ownerRevision, clockMs)
 
 /// The operator's configuration document, for a daemon that cannot read it from the store.
 struct PeerPolicy {
@@ -115,8 +117,11 @@
 struct VmCommands {
     std::uint64_t fencingToken = 0;
     std::vector<VmCommand> orders;
+    /// When the owner sent them, on the recipient's clock as in its latest hello; not later than the real time.
+    /// Zero if unknown.
+    std::int64_t issuedAtMs = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmCommands, fencingToken, orders)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmCommands, fencingToken, orders, issuedAtMs)
 
 /// Result of a VmCommand.
 struct VmResult {
--- a/lib/Node/Orders.cpp
+++ b/lib/Node/Orders.cpp
@@ -1,12 +1,11 @@
 #include "Core.h"
+#include "DelegatedCommands.h"
 
 namespace heatherchute {
 
 /// A single daemon can send the commands for about this many VMs. In a larger fleet the owner
 /// delegates them to daemons in the failure domains of the VMs.
 static constexpr std::size_t vmsWithoutDelegates = 100;
-/// Time for a delegate's response in addition to the command's own timeout.
-static constexpr Milliseconds delegateSlack { 400 };
 
 void NodeCore::run(const cell::StartRun& start)
 {
@@ -84,6 +83,8 @@
 {
     for (auto& [link, commands] : std::exchange(m_delegatedCommands, {})) {
         commands.fencingToken = m_election.fencingToken();
+        if (const auto peer = m_peers.find(link); peer != m_peers.end())
+            commands.issuedAtMs = issueTimeFor(peer->second.hello, peer->second.helloAtMs, bootTimeMs());
         m_components.links->send(link, std::move(commands));
     }
 }
@@ -133,6 +134,11 @@
 
 void NodeCore::handle(LinkId link, const VmCommands& commands)
 {
+    const auto time = bootTimeMs();
+    const auto validity = validityOf(commands, m_ownerDirectory.newestRevision(), time);
+    m_metrics.count("delegated_commands", std::string(commandValidityName(validity)), commands.orders.size());
+    if (validity != CommandValidity::Valid)
+        logEvent(LogLevel::Warning, "delegated_commands_invalid", { { "why", commandValidityName(validity) }, { "peer", m_peers.at(link).hello.daemon }, { "fencing_token", commands.fencingToken }, { "newest_owner", m_ownerDirectory.newestRevision() }, { "age_ms", commands.issuedAtMs == 0 ? -1 : time - commands.issuedAtMs }, { "first_task", commands.orders.empty() ? std::string() : commands.orders.front().task }, { "commands", commands.orders.size() } });
     for (const auto& command : commands.orders) {
         executeCommand(command, commands.fencingToken, nullptr, [this, link](VmResult result) {
             m_delegateResults[link].results.push_back(std::move(result));
--- a/lib/Node/OwnerContact.h
+++ b/lib/Node/OwnerContact.h
@@ -6,6 +6,8 @@
 #include "heatherchute/Election.h"
 #include "heatherchute/Peer.h"
 
+#include <algorithm>
+
 namespace heatherchute {
 
 /// Address of the owner, by the newest record that was read from the store or that another daemon has
@@ -16,6 +18,8 @@
     void onHeard(std::uint64_t revision, const std::string& address);
     /// Empty if there is no owner or none is known.
     const std::string& address() const;
+    /// Revision of that record, or of a later one that has ended; zero if none was known yet.
+    std::uint64_t newestRevision() const { return std::max(m_readRevision, m_heardRevision); }
 
 private:
     std::uint64_t m_readRevision = 0;
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -64,7 +64,7 @@
 void NodeCore::sendHello(LinkId link, Peer& peer)
 {
     peer.lastHello = Clock::now();
-    PeerHello hello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_scheduler && !isIsolatedOwner(), addressText(m_settings.advertisePeers), m_scheduler ? m_election.fencingToken() : 0, m_settings.processorShare, {}, 0 };
+    PeerHello hello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_scheduler && !isIsolatedOwner(), addressText(m_settings.advertisePeers), m_scheduler ? m_election.fencingToken() : 0, m_settings.processorShare, {}, 0, bootTimeMs() };
     if (const auto& record = m_election.record()) {
         hello.ownerAddress = record->peerAddress;
         hello.ownerRevision = record->revision;
@@ -198,6 +198,7 @@
     const bool isNew = peer.hello.daemon.empty();
     const bool becameOwner = hello.ownsCell && !peer.hello.ownsCell;
     peer.hello = hello;
+    peer.helloAtMs = bootTimeMs();
     if (isNew)
         updateAdvisers();
     if (isNew)
