--- a/test/cell/promises.py
+++ b/test/cell/promises.py
@@ -29,6 +29,8 @@
         self.accepted_at = None
         self.cancel_sent = False
         self.cancelled_at = None
+        # The cancelling was answered with 410: the owner knew of no such job.
+        self.cancelled_unknown = False
         self.shown = None
 
     def tasks(self):
@@ -95,6 +97,8 @@
         on_time = self.timed and now >= self.late_until
         if on_time and job.cancelled_at and now > job.cancelled_at + CANCEL_S:
             self.broken("a cancelled job starts nothing", f"{text}: cancelled {now - job.cancelled_at:.1f} s before")
+        if job.cancelled_unknown:
+            self.broken("a job that was cancelled before it was known never starts", f"{text}: cancelled {now - job.cancelled_at:.1f} s before")
         if on_time and self.is_calm() and vm.draining and now > vm.draining_since + DRAIN_S:
             self.broken("a leaving VM gets no new work", text)
         self.runs[run.task].append({"run": run.number, "vm": vm.id, "began": now, "ended": None, "how": None, "noted": False})
--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -4,7 +4,7 @@
 usage: soak.py --build DIR [--keep] [--untimed] [--daemons N] [--vms N] (FILE.scn... | --seed N [--count N])
 
 A scenario has a line for each fault: "at SECONDS VERB [TARGET] [for SECONDS]"; "load SECONDS" says
-how long callers send. A seed makes such a scenario; the lines of one that fails are printed, so that
+how long callers send, "cancel-early SHARE" how many cancel without waiting for an answer. A seed makes such a scenario; the lines of one that fails are printed, so that
 it can be kept as a file.
 """
 
@@ -33,7 +33,7 @@
 class Callers:
     """Callers hand jobs in, ask for them, cancel some, and keep their connections while they can."""
 
-    def __init__(self, cell, promises, seed, rate):
+    def __init__(self, cell, promises, seed, rate, early_cancel_share):
         self.cell = cell
         self.promises = promises
         self.random = random.Random(seed)
@@ -42,6 +42,9 @@
         self.next = 0
         self.prefix = f"{seed & 0xFFFFFFFF:08x}"
         self.cancel_share = 0.05
+        # Share of the callers that cancel without waiting for the answer to their submission.
+        self.early_cancel_share = early_cancel_share
+        self.early = random.Random(seed + 1)
 
     async def balance(self):
         """Takes daemons out of rotation after two missed health checks, as the platform does."""
@@ -102,6 +105,8 @@
     async def one_job(self, channels):
         job, body = self.make_job()
         path = f"/{job.queue}/{job.id}"
+        if self.early.random() < self.early_cancel_share:
+            asyncio.ensure_future(self.cancel_early(job, self.early.uniform(0.0, 0.3)))
         for _ in range(4):
             status, _ = await self.call(channels, "POST", path, body, job.team)
             self.promises.submitted(job, status)
@@ -121,8 +126,18 @@
     async def cancel(self, channels, job):
         job.cancel_sent = True
         status, _ = await self.call(channels, "DELETE", f"/{job.queue}/{job.id}", team=job.team)
-        if status == 200:
+        # 410 acknowledges it as well: the job, which may still be on its way, must not run.
+        if status in (200, 410) and job.cancelled_at is None:
             job.cancelled_at = time.monotonic()
+            job.cancelled_unknown = status == 410
+            self.promises.counts[f"cancelled {status}"] += 1
+
+    async def cancel_early(self, job, pause):
+        await asyncio.sleep(pause)
+        channels = {}
+        await self.cancel(channels, job)
+        for channel in channels.values():
+            channel.close()
 
     async def load(self, until):
         jobs = []
@@ -351,29 +366,31 @@
 
 
 def parse_scenario(lines):
-    load, faults = 8.0, []
+    load, early_cancel_share, faults = 8.0, 0.0, []
     for line in lines:
         words = line.split("#")[0].split()
         if not words:
             continue
         if words[0] == "load":
             load = float(words[1])
+        elif words[0] == "cancel-early":
+            early_cancel_share = float(words[1])
         elif words[0] == "at":
             seconds = float(words[words.index("for") + 1]) if "for" in words else 0.0
             faults.append((float(words[1]), words[2], words[3] if len(words) > 3 and words[3] != "for" else "", seconds))
         else:
             raise ValueError(f"unknown line: {line}")
-    return load, faults
+    return load, early_cancel_share, faults
 
 
 async def play(options, lines, seed):
-    load, faults = parse_scenario(lines)
+    load, early_cancel_share, faults = parse_scenario(lines)
     promises = Promises(timed=not options.untimed)
     cell = deployment.Cell(options.build, promises, seed, options.daemons, options.vms)
     tasks = []
     try:
         await cell.open()
-        callers = Callers(cell, promises, seed, rate=8.0)
+        callers = Callers(cell, promises, seed, 8.0, early_cancel_share)
         faulty = Faults(cell, promises, callers, seed)
         promises.trouble(30.0)
         await until_ready(cell)
