A job that was cancelled before its submission arrived stays cancelled

What callers saw: tasks start seconds after the cancelling of their job was acknowledged.

Cause: the owner answered the cancelling of a job that it doesn't know with 410 and kept nothing of it. The submission may still be on its way: at a daemon that waits for an owner, in a link, or sent again after a change of the owner. The owner took it for a new job whenever it arrived. "Not known" was taken for "does not exist".

Change: the owner keeps the cancelling of an unknown job as a cancelled job without a submission, for the time that ended jobs are kept, and answers 410 only once it is durable, so that the next owner has it too. A submission that arrives later finds it, is answered like any repeated one, and never runs. To queries there is no such job until then. At most 10,000 are kept; beyond that, while the store is silent, or if the job's record can't be read, the cancelling is answered with 503 and nothing is claimed.

All runs of the soak now cancel one job in twenty early.

Ruled out: the owner's own order of calls (a job that is known, durable or not, was stopped before the acknowledgement) and forwarded calls of one daemon (sent to the owner in the order of their arrival).

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -151,6 +151,8 @@
 
     /// Submits a job. An action with the result follows once the job is durable or rejected.
     void submit(CallId call, const std::string& id, const std::string& queue, const std::string& team, JobSpec spec, Now now);
+    /// Cancels a job. A job that is unknown stays cancelled for the retention time, whenever its submission
+    /// arrives; the result is ErrorKind::NotFound, once that is durable.
     void cancel(CallId call, const std::string& id, Now now);
     /// Returns nothing if the job doesn't exist.
     std::optional<JobPhase> query(const std::string& id) const;
@@ -198,6 +200,12 @@
 
     // Jobs.cpp
     Job* job(const std::string& id);
+    /// Result for a client whose call has taken effect on the job.
+    static ErrorKind resultFor(const Job& job) { return job.isSubmitted ? ErrorKind::None : ErrorKind::NotFound; }
+    /// Handles the submission of a job that this scheduler has already.
+    void submitAgain(Job& job, const std::string& queue, const std::string& team, AfterCommit after);
+    /// Adds a job that was cancelled before its submission arrived; null, with a response, if it can't be kept.
+    Job* addCancelledJob(CallId call, const std::string& id, Now now);
     void markDirty(const std::string& id) { m_dirtyJobs.insert(id); }
     void createDueOccurrences(Job& job, Now now);
     void removeExpiredJobs(Now now);
@@ -317,6 +325,8 @@
     std::map<std::string, Job*> m_activeJobs;
     std::uint64_t m_nextSequence = 1;
     std::set<std::string> m_unreadableJobs;
+    /// Number of jobs with `isSubmitted` false.
+    std::size_t m_unsubmittedJobs = 0;
     /// Active jobs with occurrences that have not been created yet.
     std::set<std::string> m_scheduledJobs;
     /// Something has changed that may allow a task to start.
--- a/include/heatherchute/CellState.h
+++ b/include/heatherchute/CellState.h
@@ -68,6 +68,9 @@
     /// Phase reported to clients; a final phase is reported only once it is durable.
     JobPhase reportedPhase = JobPhase::Queued;
     bool isDurable = false;
+    /// False for a job that was cancelled and whose submission has not arrived. It is kept so that a submission
+    /// still on its way is not accepted; to clients there is no such job.
+    bool isSubmitted = true;
     std::map<std::uint32_t, Occurrence> occurrences;
     std::uint32_t nextOccurrence = 0;
     std::uint32_t completedOccurrences = 0;
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -25,15 +25,8 @@
     AfterCommit after;
     after.response = AnswerCall { call, ErrorKind::None };
     after.job = id;
-    if (const auto* const known = job(id)) {
-        // Submissions are idempotent: the same id means the same job, whoever repeats it and whenever.
-        m_actions.emplace_back(Decision { "submission_repeated", { { "job", id }, { "phase", jobPhaseName(known->phase) } } });
-        if (known->isDurable)
-            m_actions.emplace_back(*after.response);
-        else
-            m_afterNextCommit.push_back(std::move(after));
-        return;
-    }
+    if (auto* const known = job(id))
+        return submitAgain(*known, queue, team, std::move(after));
     const auto* const policy = findQueue(queue);
     if (!policy) {
         m_actions.emplace_back(AnswerCall { call, ErrorKind::StaleConfiguration });
@@ -73,6 +66,24 @@
     m_afterNextCommit.push_back(std::move(after));
 }
 
+void CellDesk::submitAgain(Job& job, const std::string& queue, const std::string& team, AfterCommit after)
+{
+    // Submissions are idempotent: the same id means the same job, whoever repeats it and whenever.
+    m_actions.emplace_back(Decision { "submission_repeated", { { "job", job.id }, { "phase", jobPhaseName(job.phase) }, { "first", !job.isSubmitted } } });
+    if (!job.isSubmitted) {
+        job.isSubmitted = true;
+        job.isDurable = false;
+        job.queue = queue;
+        job.team = team;
+        --m_unsubmittedJobs;
+        markDirty(job.id);
+    }
+    if (job.isDurable)
+        m_actions.emplace_back(*after.response);
+    else
+        m_afterNextCommit.push_back(std::move(after));
+}
+
 bool CellDesk::exceedsTeamRate(const std::string& teamName, Now now)
 {
     /// Burst size of a team's submissions, in seconds of its rate.
@@ -91,16 +102,35 @@
     return false;
 }
 
+Job* CellDesk::addCancelledJob(CallId call, const std::string& id, Now now)
+{
+    /// Bounds the memory, and the records in the store, that calls with arbitrary ids can occupy.
+    constexpr std::size_t maxUnsubmittedJobs = 10'000;
+    const bool isFull = m_unsubmittedJobs >= maxUnsubmittedJobs;
+    const bool isStorable = !isUnreadable(id) && !isStoreUnresponsive(now);
+    m_actions.emplace_back(Decision { "cancel_of_unknown_job", { { "job", id }, { "unreadable", isUnreadable(id) }, { "confirmed", m_isOwnershipConfirmed }, { "kept", isStorable && !isFull } } });
+    if (!isStorable || isFull) {
+        m_actions.emplace_back(AnswerCall { call, isStorable ? ErrorKind::Overloaded : ErrorKind::StoreUnavailable });
+        return nullptr;
+    }
+    auto& added = m_jobs[id];
+    added.id = id;
+    added.phase = JobPhase::Cancelled;
+    added.isSubmitted = false;
+    added.endedAt = now.steady;
+    ++m_unsubmittedJobs;
+    return &added;
+}
+
 void CellDesk::cancel(CallId call, const std::string& id, Now now)
 {
-    auto* const known = job(id);
-    if (!known) {
-        m_actions.emplace_back(Decision { "cancel_of_unknown_job", { { "job", id }, { "unreadable", isUnreadable(id) }, { "confirmed", m_isOwnershipConfirmed } } });
-        m_actions.emplace_back(AnswerCall { call, ErrorKind::NotFound });
+    auto* known = job(id);
+    if (!known)
+        known = addCancelledJob(call, id, now);
+    if (!known)
         return;
-    }
     AfterCommit after;
-    after.response = AnswerCall { call, ErrorKind::None };
+    after.response = AnswerCall { call, resultFor(*known) };
     after.job = id;
     if (!isFinal(known->phase)) {
         finishJob(*known, JobPhase::Cancelled, now, Json::object());
@@ -113,7 +143,7 @@
 std::optional<JobPhase> CellDesk::query(const std::string& id) const
 {
     const auto found = m_jobs.find(id);
-    if (found == m_jobs.end())
+    if (found == m_jobs.end() || !found->second.isSubmitted)
         return std::nullopt;
     return found->second.reportedPhase;
 }
@@ -215,8 +245,10 @@
     for (auto it = m_jobs.begin(); it != m_jobs.end() && m_removedJobs.size() < maxRemovedAtOnce;) {
         const auto& job = it->second;
         const bool isExpired = !m_activeJobs.contains(job.id) && isFinal(job.phase) && now.steady - job.endedAt > m_limits.jobRetention;
-        if (isExpired)
+        if (isExpired) {
             m_removedJobs.insert(job.id);
+            m_unsubmittedJobs -= job.isSubmitted ? 0 : 1;
+        }
         it = isExpired ? m_jobs.erase(it) : std::next(it);
     }
 }
--- a/lib/Cell/State.cpp
+++ b/lib/Cell/State.cpp
@@ -34,7 +34,7 @@
 {
     // Once a job has ended and has no runs left, clients can only query its phase.
     if (isFinal(job.phase) && job.placements == 0)
-        return encodeCbor({ { "phase", static_cast<int>(job.phase) }, { "queue", job.queue }, { "team", job.team } });
+        return encodeCbor({ { "phase", static_cast<int>(job.phase) }, { "queue", job.queue }, { "team", job.team }, { "submitted", job.isSubmitted } });
     auto occurrences = Json::array();
     for (const auto& [number, occurrence] : job.occurrences) {
         auto steps = Json::array();
@@ -221,6 +221,9 @@
         return true;
     job.queue = progress.at("queue");
     job.team = progress.at("team");
+    // Earlier versions of this software keep submitted jobs only.
+    job.isSubmitted = progress.value("submitted", true);
+    m_unsubmittedJobs += job.isSubmitted ? 0 : 1;
     job.reportedPhase = job.phase;
     job.isDurable = true;
     job.endedAt = now.steady;
--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -366,7 +366,7 @@
 
 
 def parse_scenario(lines):
-    load, early_cancel_share, faults = 8.0, 0.0, []
+    load, early_cancel_share, faults = 8.0, 0.05, []
     for line in lines:
         words = line.split("#")[0].split()
         if not words:
--- a/unittests/Cell/CellDeskTest.cpp
+++ b/unittests/Cell/CellDeskTest.cpp
@@ -60,7 +60,27 @@
     /// Ends a run that the VM has been told to start.
     void endRun(const StartRun& start, RunEnd end) { finished.push_back({ ++m_lastEnd, start.task, start.run, end, {} }); }
 
-    void submit(const std::string& id, const std::string& queue, const std::string& team, JobSpec spec) { desk->submit(m_nextCall++, id, queue, team, std::move(spec), now); }
+    CallId submit(const std::string& id, const std::string& queue, const std::string& team, JobSpec spec)
+    {
+        desk->submit(m_nextCall, id, queue, team, std::move(spec), now);
+        return m_nextCall++;
+    }
+
+    CallId cancel(const std::string& id)
+    {
+        desk->cancel(m_nextCall, id, now);
+        return m_nextCall++;
+    }
+
+    /// Result of a call; nullopt while there is none.
+    std::optional<ErrorKind> answer(CallId call) const
+    {
+        const auto found = m_answers.find(call);
+        return found == m_answers.end() ? std::nullopt : std::optional(found->second);
+    }
+
+    /// Replaces what the store has of the job's progress by bytes that can't be decoded.
+    void damageProgress(const std::string& id) { m_store[progressPrefix + id] = "?"; }
 
     std::string phase(const std::string& id) const
     {
@@ -74,6 +94,8 @@
     std::vector<FinishedTask> finished;
     std::vector<StartRun> starts;
     std::vector<StopRun> stops;
+    /// While set, commits get no response.
+    bool isStoreSilent = false;
 
 private:
     void begin(CellPolicyPointer policy)
@@ -110,7 +132,11 @@
         desk->advance(now);
         bool isCommitted = false;
         for (const auto& action : desk->takeActions()) {
-            if (const auto* const commit = std::get_if<CommitState>(&action)) {
+            if (const auto* const response = std::get_if<AnswerCall>(&action)) {
+                m_answers[response->call] = response->error;
+            } else if (const auto* const commit = std::get_if<CommitState>(&action)) {
+                if (isStoreSilent)
+                    continue;
                 isCommitted = true;
                 for (const auto& write : commit->writes)
                     m_store[write.key] = write.value;
@@ -137,6 +163,7 @@
     std::map<std::string, std::string> m_store;
     std::uint64_t m_lastEnd = 0;
     CallId m_nextCall = 1;
+    std::map<CallId, ErrorKind> m_answers;
 };
 
 const std::string jobId = "0000000000000001";
@@ -275,3 +302,72 @@
     cell.run(Milliseconds(500));
     CHECK(cell.starts.size() == 1);
 }
+
+TEST_CASE("A job that was cancelled before its submission arrived never starts")
+{
+    TestCell cell(makePolicy(1, { makeQueue("queue", 2) }));
+    const auto cancelled = cell.cancel(jobId);
+    // The acknowledgement waits until no later owner can accept the submission.
+    CHECK_FALSE(cell.answer(cancelled));
+    cell.run(Milliseconds(50));
+    CHECK(cell.answer(cancelled) == ErrorKind::NotFound);
+    CHECK(cell.phase(jobId) == "unknown");
+    const bool isOwnerChanged = GENERATE(false, true);
+    if (isOwnerChanged)
+        cell.changeOwner(makePolicy(1, { makeQueue("queue", 2) }));
+    const auto submitted = cell.submit(jobId, "queue", "team", makeJob(1));
+    cell.run(Milliseconds(500));
+    CHECK(cell.answer(submitted) == ErrorKind::None);
+    CHECK(cell.phase(jobId) == "cancelled");
+    const auto again = cell.cancel(jobId);
+    if (isOwnerChanged)
+        cell.changeOwner(makePolicy(1, { makeQueue("queue", 2) }));
+    cell.run(Milliseconds(500));
+    CHECK(cell.answer(again).value_or(ErrorKind::None) == ErrorKind::None);
+    CHECK(cell.phase(jobId) == "cancelled");
+    CHECK(cell.starts.empty());
+}
+
+TEST_CASE("A cancelled job without a submission is forgotten after the retention time")
+{
+    TestCell cell(makePolicy(1, { makeQueue("queue", 2) }));
+    cell.cancel(jobId);
+    cell.run(CellLimits().jobRetention + Seconds(2));
+    cell.changeOwner(makePolicy(1, { makeQueue("queue", 2) }));
+    cell.submit(jobId, "queue", "team", makeJob(1));
+    cell.run(Milliseconds(200));
+    CHECK(cell.starts.size() == 1);
+}
+
+TEST_CASE("A cancellation that cannot be kept is not acknowledged")
+{
+    TestCell cell(makePolicy(1, { makeQueue("queue", 2) }));
+    SECTION("while the store is silent")
+    {
+        cell.isStoreSilent = true;
+        cell.submit("another", "queue", "team", makeJob(1));
+        cell.run(Seconds(2));
+        const auto cancelled = cell.cancel(jobId);
+        cell.run(Milliseconds(50));
+        CHECK(cell.answer(cancelled) == ErrorKind::StoreUnavailable);
+    }
+    SECTION("of a job whose record cannot be read")
+    {
+        cell.submit(jobId, "queue", "team", makeJob(1));
+        cell.run(Milliseconds(200));
+        cell.damageProgress(jobId);
+        cell.changeOwner(makePolicy(1, { makeQueue("queue", 2) }));
+        const auto cancelled = cell.cancel(jobId);
+        cell.run(Milliseconds(50));
+        CHECK(cell.answer(cancelled) == ErrorKind::StoreUnavailable);
+    }
+    SECTION("beyond the number of jobs that are kept")
+    {
+        std::vector<CallId> calls;
+        for (int i = 0; i < 10'001; ++i)
+            calls.push_back(cell.cancel("unknown-" + std::to_string(i)));
+        cell.run(Milliseconds(100));
+        CHECK(cell.answer(calls.front()) == ErrorKind::NotFound);
+        CHECK(cell.answer(calls.back()) == ErrorKind::Overloaded);
+    }
+}
