Delegates don't send commands that their owner has given up

What callers saw in runs of our own: tasks that had ended done ran again, on the VMs of the first run. For cancelled tasks the same path starts what nobody asked for.

Cause: a delegate sent whatever command arrived, whatever its age. A command waits in the link, in a ring or in a stopped process for any time, while its owner gives it up after 1.1 s, stops or repeats the run, and goes on. What makes a VM refuse the late start - the stop, the run's end, the fencing token, the deadline on its clock - is gone once the VM has started anew. A late heartbeat does the same harm: it acknowledges ends by the numbers of the earlier incarnation, and grants a lease on its clock.

Change: a delegate checks the age of a command just before it sends it, on its own boot clock, and reports one that is older than the owner waits as not sent. The age counts from the delegate's own hello as echoed by the owner, so it is never underestimated, and needs no clocks that agree. Commands of an owner that has been replaced are refused at once, and that owner is told.

Ruled out: the VM's deadline alone bounds this (it is on the clock of the earlier incarnation) and a stop before the next run (the VM forgets it).

--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -83,6 +83,16 @@
         TimePoint deadline;
     };
 
+    /// Who issued a command, and when.
+    struct CommandOrigin {
+        std::uint64_t fencingToken = 0;
+        /// In the time of this daemon's bootTimeMs(); zero if unknown.
+        std::int64_t issuedAtMs = 0;
+        /// Once this is set, the command is not sent and a late result is dropped; null for commands of
+        /// another daemon.
+        std::shared_ptr<std::atomic<bool>> ended;
+    };
+
     struct PendingCommand {
         VmCommandKind kind = VmCommandKind::Heartbeat;
         std::string vm;
@@ -177,9 +187,8 @@
     /// daemon sends them itself.
     LinkId delegateFor(const std::string& vm) const;
     void dispatchCommand(VmCommand command, const cell::TaskId& task, Milliseconds timeout);
-    /// Sends a command to its VM. Does nothing, and drops a late result, once `ended` is set; a null
-    /// `ended` is never set.
-    void executeCommand(VmCommand command, std::uint64_t fencingToken, std::shared_ptr<std::atomic<bool>> ended, std::function<void(VmResult)> onResult);
+    /// Sends a command to its VM, unless it is too old by then; its result is NotSent in that case.
+    void executeCommand(VmCommand command, CommandOrigin origin, std::function<void(VmResult)> onResult);
     void sendResults();
     void onVmResult(const VmResult& result);
     void expireCommands();
--- a/lib/Node/Orders.cpp
+++ b/lib/Node/Orders.cpp
@@ -76,7 +76,7 @@
         m_delegatedCommands[link].orders.push_back(std::move(command));
         return;
     }
-    executeCommand(std::move(command), m_election.fencingToken(), m_ownershipEnded, [this](const VmResult& result) { onVmResult(result); });
+    executeCommand(std::move(command), { m_election.fencingToken(), bootTimeMs(), m_ownershipEnded }, [this](const VmResult& result) { onVmResult(result); });
 }
 
 void NodeCore::sendDelegatedCommands()
@@ -89,18 +89,22 @@
     }
 }
 
+/// Result of a command that was certainly not sent.
+static VmResult notSent(std::uint64_t id)
+{
+    return { id, platform::OrderOutcome::NotSent, cell::StartAnswer::NotSent, std::nullopt };
+}
+
 static VmResult sendCommand(platform::VmClient& vms, const VmCommand& command, std::uint64_t fencingToken)
 {
-    VmResult result;
-    result.id = command.id;
     const auto address = parseAddress(command.address);
     const auto task = cell::parseTaskId(command.task);
     if (!address || (!task && command.kind != VmCommandKind::Heartbeat)) {
         logEvent(LogLevel::Error, "vm_order_unreadable", { { "vm", command.vm }, { "address", command.address }, { "task", command.task } });
-        result.outcome = platform::OrderOutcome::NotSent;
-        result.answer = cell::StartAnswer::NotSent;
-        return result;
+        return notSent(command.id);
     }
+    VmResult result;
+    result.id = command.id;
     switch (command.kind) {
     case VmCommandKind::Start:
         result.answer = vms.start({ address.value(), command.vm, *task, command.run, command.payload, command.deadlineMs, fencingToken, command.checkpoint, command.ticket }).answer;
@@ -119,12 +123,14 @@
     return result;
 }
 
-void NodeCore::executeCommand(VmCommand command, std::uint64_t fencingToken, std::shared_ptr<std::atomic<bool>> ended, std::function<void(VmResult)> onResult)
+void NodeCore::executeCommand(VmCommand command, CommandOrigin origin, std::function<void(VmResult)> onResult)
 {
-    m_components.outbound->runFiber([this, ended = std::move(ended), command = std::move(command), fencingToken, onResult = std::move(onResult)]() mutable {
+    m_components.outbound->runFiber([this, ended = std::move(origin.ended), command = std::move(command), fencingToken = origin.fencingToken, issuedAtMs = origin.issuedAtMs, onResult = std::move(onResult)]() mutable {
         if (ended && ended->load())
             return;
-        auto result = sendCommand(m_components.outbound->vms(), command, fencingToken);
+        // The VM may have forgotten what would make it refuse a late command: a VM that has started anew knows
+        // no stop, no end and no fencing token, and its clock is behind the command's deadline.
+        auto result = isTooOld(issuedAtMs, bootTimeMs()) ? notSent(command.id) : sendCommand(m_components.outbound->vms(), command, fencingToken);
         m_components.outbound->postToCore([ended = std::move(ended), result = std::move(result), onResult = std::move(onResult)]() mutable {
             if (!ended || !ended->load())
                 onResult(std::move(result));
@@ -139,12 +145,20 @@
     m_metrics.count("delegated_commands", std::string(commandValidityName(validity)), commands.orders.size());
     if (validity != CommandValidity::Valid)
         logEvent(LogLevel::Warning, "delegated_commands_invalid", { { "why", commandValidityName(validity) }, { "peer", m_peers.at(link).hello.daemon }, { "fencing_token", commands.fencingToken }, { "newest_owner", m_ownerDirectory.newestRevision() }, { "age_ms", commands.issuedAtMs == 0 ? -1 : time - commands.issuedAtMs }, { "first_task", commands.orders.empty() ? std::string() : commands.orders.front().task }, { "commands", commands.orders.size() } });
-    for (const auto& command : commands.orders) {
-        executeCommand(command, commands.fencingToken, nullptr, [this, link](VmResult result) {
-            m_delegateResults[link].results.push_back(std::move(result));
-            schedulePass();
-        });
+    if (validity == CommandValidity::Valid) {
+        for (const auto& command : commands.orders) {
+            executeCommand(command, { commands.fencingToken, commands.issuedAtMs, nullptr }, [this, link](VmResult result) {
+                m_delegateResults[link].results.push_back(std::move(result));
+                schedulePass();
+            });
+        }
+        return;
     }
+    for (const auto& command : commands.orders)
+        m_delegateResults[link].results.push_back(notSent(command.id));
+    // Tells an owner that has been replaced of its successor.
+    sendHello(link, m_peers.at(link));
+    schedulePass();
 }
 
 void NodeCore::sendResults()
--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -4,7 +4,8 @@
 usage: soak.py --build DIR [--keep] [--untimed] [--daemons N] [--vms N] (FILE.scn... | --seed N [--count N])
 
 A scenario has a line for each fault: "at SECONDS VERB [TARGET] [for SECONDS]"; "load SECONDS" says
-how long callers send, "cancel-early SHARE" how many cancel without waiting for an answer. A seed makes such a scenario; the lines of one that fails are printed, so that
+how long callers send, "rate JOBS" how many a second, and "cancel-early SHARE" how many of them cancel
+without waiting for an answer; "daemons COUNT" and "vms COUNT" go before the options. A seed makes such a scenario; the lines of one that fails are printed, so that
 it can be kept as a file.
 """
 
@@ -366,31 +367,30 @@
 
 
 def parse_scenario(lines):
-    load, early_cancel_share, faults = 8.0, 0.05, []
+    """The scenario's settings by name, and its faults."""
+    settings, faults = {"load": 8.0, "rate": 8.0, "cancel-early": 0.05, "daemons": None, "vms": None}, []
     for line in lines:
         words = line.split("#")[0].split()
         if not words:
             continue
-        if words[0] == "load":
-            load = float(words[1])
-        elif words[0] == "cancel-early":
-            early_cancel_share = float(words[1])
+        if words[0] in settings:
+            settings[words[0]] = float(words[1])
         elif words[0] == "at":
             seconds = float(words[words.index("for") + 1]) if "for" in words else 0.0
             faults.append((float(words[1]), words[2], words[3] if len(words) > 3 and words[3] != "for" else "", seconds))
         else:
             raise ValueError(f"unknown line: {line}")
-    return load, early_cancel_share, faults
+    return settings, faults
 
 
 async def play(options, lines, seed):
-    load, early_cancel_share, faults = parse_scenario(lines)
+    settings, faults = parse_scenario(lines)
     promises = Promises(timed=not options.untimed)
-    cell = deployment.Cell(options.build, promises, seed, options.daemons, options.vms)
+    cell = deployment.Cell(options.build, promises, seed, int(settings["daemons"] or options.daemons), int(settings["vms"] or options.vms))
     tasks = []
     try:
         await cell.open()
-        callers = Callers(cell, promises, seed, 8.0, early_cancel_share)
+        callers = Callers(cell, promises, seed, settings["rate"], settings["cancel-early"])
         faulty = Faults(cell, promises, callers, seed)
         promises.trouble(30.0)
         await until_ready(cell)
@@ -403,7 +403,7 @@
             await faulty.carry_out(verb, target, seconds)
 
         running = [asyncio.ensure_future(fault(*row)) for row in faults]
-        jobs = await callers.load(began + load)
+        jobs = await callers.load(began + settings["load"])
         await asyncio.gather(*running)
         cell.heal()
         _, late = await asyncio.wait(jobs, timeout=FINISH_S)
--- a/unittests/Node/MessagesTest.cpp
+++ b/unittests/Node/MessagesTest.cpp
@@ -26,7 +26,7 @@
     VmResult beat;
     beat.outcome = platform::OrderOutcome::Done;
     beat.state = cell::VmState { 5, 7, { { { "j", 0, 0, 1 }, 2, "c", 0 } }, { { 3, { "j", 0, 0, 2 }, 1, cell::RunEnd::Done, "" } } };
-    return { PeerHello { "a", "z", "i", 4, true, "10.0.0.1:7", 9, 0.5, "10.0.0.2:7", 12 }, submission, VmCommands { 9, { start } }, VmResults { { beat } }, AdviceRequest { 1, "j.0.0", { "i-1" }, 500 } };
+    return { PeerHello { "a", "z", "i", 4, true, "10.0.0.1:7", 9, 0.5, "10.0.0.2:7", 12, 70'000 }, submission, VmCommands { 9, { start }, 71'000 }, VmResults { { beat } }, AdviceRequest { 1, "j.0.0", { "i-1" }, 500 } };
 }
 
 /// Encodes a message of the kind with this number.
