A submission does not replace a stored job that cannot be read

What callers would see: a job that was accepted runs a second time when its submission is repeated while its record in the store can't be decoded.

Cause: the owner keeps the id of such a job apart, and a submission looked for known jobs only. The same root as the cancelling of unknown jobs: what this owner doesn't know was taken for what doesn't exist.

--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -27,6 +27,10 @@
     after.job = id;
     if (auto* const known = job(id))
         return submitAgain(*known, queue, team, std::move(after));
+    if (isUnreadable(id)) {
+        m_actions.emplace_back(AnswerCall { call, ErrorKind::StoreUnavailable });
+        return;
+    }
     const auto* const policy = findQueue(queue);
     if (!policy) {
         m_actions.emplace_back(AnswerCall { call, ErrorKind::StaleConfiguration });
--- a/unittests/Cell/CellDeskTest.cpp
+++ b/unittests/Cell/CellDeskTest.cpp
@@ -371,3 +371,17 @@
         CHECK(cell.answer(calls.back()) == ErrorKind::Overloaded);
     }
 }
+
+TEST_CASE("A submission does not replace a stored job that cannot be read")
+{
+    TestCell cell(makePolicy(1, { makeQueue("queue", 2) }));
+    cell.submit(jobId, "queue", "team", makeJob(1));
+    cell.run(Milliseconds(200));
+    REQUIRE(cell.starts.size() == 1);
+    cell.damageProgress(jobId);
+    cell.changeOwner(makePolicy(1, { makeQueue("queue", 2) }));
+    const auto submitted = cell.submit(jobId, "queue", "team", makeJob(1));
+    cell.run(Milliseconds(500));
+    CHECK(cell.answer(submitted) == ErrorKind::StoreUnavailable);
+    CHECK(cell.starts.size() == 1);
+}
