A daemon that was paused sends no request whose caller has gone

Cause: after a pause of the process, a pass that an event of a link triggers came before the timer that expires requests, and sent submissions of any age to the owner. The owner keeps the cancelling of an unknown job for a bounded time only, so the age of what a daemon holds has to be bounded too: by the caller's own deadline.

The new case in OwnerContactTest fails with the condition taken out, as requests had no deadline there.

--- a/lib/Node/Calls.cpp
+++ b/lib/Node/Calls.cpp
@@ -91,8 +91,9 @@
     if (!m_scheduler && link == 0)
         return;
     std::vector<std::uint64_t> ids;
+    const auto time = Clock::now();
     for (const auto& [id, pending] : m_requests) {
-        if (isDue(pending.dispatch, link))
+        if (isDue(pending, pending.dispatch, link, time))
             ids.push_back(id);
     }
     for (const auto id : ids) {
--- a/lib/Node/OwnerContact.cpp
+++ b/lib/Node/OwnerContact.cpp
@@ -27,9 +27,9 @@
     return m_heardRevision > m_readRevision ? m_heardAddress : m_readAddress;
 }
 
-bool isDue(const OwnerDispatch& dispatch, LinkId owner)
+bool isDue(const UnansweredRequest& request, const OwnerDispatch& dispatch, LinkId owner, TimePoint now)
 {
-    return !dispatch.awaitsAnswer || dispatch.sentTo != owner;
+    return now < request.deadline && (!dispatch.awaitsAnswer || dispatch.sentTo != owner);
 }
 
 bool isAnswered(const OwnerDispatch& dispatch, LinkId from)
--- a/lib/Node/OwnerContact.h
+++ b/lib/Node/OwnerContact.h
@@ -36,14 +36,6 @@
     LinkId sentTo = 0;
 };
 
-/// Returns true if the request must be sent to the owner behind `owner`: it was not sent yet, or to an
-/// earlier owner, whose answer will not come or no longer counts. Requests are idempotent by the job's id.
-bool isDue(const OwnerDispatch& dispatch, LinkId owner);
-
-/// Returns true if an answer over the link `from` is the answer to this request. An earlier owner may say
-/// that a job was not accepted which its successor has accepted meanwhile.
-bool isAnswered(const OwnerDispatch& dispatch, LinkId from);
-
 /// A caller's request that the owner has not answered.
 struct UnansweredRequest {
     TimePoint arrivedAt;
@@ -52,6 +44,15 @@
     bool wasSentToOwner = false;
 };
 
+/// Returns true if the request must be sent to the owner behind `owner`: it was not sent yet, or to an
+/// earlier owner, whose answer will not come or no longer counts. Requests are idempotent by the job's id.
+/// After its deadline nobody waits for the answer, and a process that was paused may hold it for any time.
+bool isDue(const UnansweredRequest& request, const OwnerDispatch& dispatch, LinkId owner, TimePoint now);
+
+/// Returns true if an answer over the link `from` is the answer to this request. An earlier owner may say
+/// that a job was not accepted which its successor has accepted meanwhile.
+bool isAnswered(const OwnerDispatch& dispatch, LinkId from);
+
 /// What becomes of an unanswered request.
 enum class RequestExpiry : std::uint8_t {
     Wait,
--- a/unittests/Node/OwnerContactTest.cpp
+++ b/unittests/Node/OwnerContactTest.cpp
@@ -37,19 +37,29 @@
 {
     constexpr LinkId earlier = 4;
     constexpr LinkId next = 9;
+    const UnansweredRequest request { start, start + Milliseconds(2850), false };
     OwnerDispatch dispatch;
-    CHECK(isDue(dispatch, earlier));
+    CHECK(isDue(request, dispatch, earlier, start));
     dispatch = { true, earlier };
-    CHECK_FALSE(isDue(dispatch, earlier));
+    CHECK_FALSE(isDue(request, dispatch, earlier, start));
     CHECK(isAnswered(dispatch, earlier));
     // The earlier owner is silent, and its link has not been dropped yet.
-    CHECK(isDue(dispatch, next));
+    CHECK(isDue(request, dispatch, next, start));
     dispatch = { true, next };
     // "Not accepted" of the earlier owner arrives after its successor got the request.
     CHECK_FALSE(isAnswered(dispatch, earlier));
     CHECK(isAnswered(dispatch, next));
     // This daemon itself has become the owner.
-    CHECK(isDue(dispatch, 0));
+    CHECK(isDue(request, dispatch, 0, start));
+}
+
+TEST_CASE("A daemon that was paused sends no request whose caller has gone")
+{
+    constexpr LinkId owner = 4;
+    const UnansweredRequest request { start, start + Milliseconds(2850), false };
+    CHECK(isDue(request, {}, owner, start + Milliseconds(2849)));
+    CHECK_FALSE(isDue(request, {}, owner, start + Milliseconds(2850)));
+    CHECK_FALSE(isDue(request, { true, owner }, owner + 1, start + Seconds(200)));
 }
 
 TEST_CASE("Callers at a daemon that is cut off from the owner are sent elsewhere at once")
