Job ids are letters, digits, '-' and '_'

Cause: any byte but '/' and '.' was taken for a part of an id. Ids become parts of store keys, task ids and JSON texts.

--- a/unittests/Platform/AdapterTest.cpp
+++ b/unittests/Platform/AdapterTest.cpp
@@ -92,4 +92,8 @@
     CHECK(parseCaller({ "GET", "/a/", {}, "" }).kind == CallKind::CountPending);
     CHECK(parseCaller({ "DELETE", "/a/", {}, "" }).kind == CallKind::Unsupported);
     CHECK(jobIdOfPath("/a/b/c", "/a/").empty());
+    CHECK(jobIdOfPath("/a/b_C-1", "/a/") == "b_C-1");
+    // An id that is not UTF-8 once ended every daemon that had the job.
+    for (const auto* const id : { "\xff\xfe", "a\xc3\xa9", "a\"b", "a b", "a%ff", "a.b" })
+        CHECK(jobIdOfPath(std::string("/a/") + id, "/a/").empty());
 }
