Ended runs that a VM has not listed yet are not taken for lost

Cause: a VM lists 500 ends at once, and the others after these are acknowledged. A run that is neither running nor among the listed ends was taken for lost.

Change: the adapter says whether the list may be partial, also for VMs behind a delegate, and absence from a partial list has no effect. The ends are acknowledged as before, so that the next list is complete.

--- a/include/heatherchute/Work.h
+++ b/include/heatherchute/Work.h
@@ -237,6 +237,8 @@
     std::int64_t incarnation = 0;
     std::vector<RunningTask> running;
     std::vector<FinishedTask> finished;
+    /// False if the VM may have further ended runs that it lists only once these are acknowledged.
+    bool areAllEndsListed = true;
 };
 
 /// Result of a start command.
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -135,6 +135,9 @@
 
 void CellDesk::markAbsentRunsLost(Vm& vm, const BeatAnswer& response, Now now)
 {
+    // A run that is absent may be among the ends that are not listed yet.
+    if (!response.state->areAllEndsListed)
+        return;
     std::set<std::pair<TaskId, std::uint32_t>> listed;
     for (const auto& running : response.state->running)
         listed.emplace(running.task, running.run);
--- a/lib/Node/Messages.cpp
+++ b/lib/Node/Messages.cpp
@@ -64,7 +64,7 @@
     auto finished = Json::array();
     for (const auto& row : state.finished)
         finished.push_back({ row.number, cell::taskText(row.task), row.run, static_cast<int>(row.end), row.checkpoint });
-    return Json::array({ state.clockMs, state.incarnation, std::move(running), std::move(finished) });
+    return Json::array({ state.clockMs, state.incarnation, std::move(running), std::move(finished), state.areAllEndsListed });
 }
 
 static cell::TaskId decodeTask(const Json& json)
@@ -81,6 +81,8 @@
         state.running.push_back({ decodeTask(row.at(0)), row.at(1), row.at(2), 0 });
     for (const auto& row : json.at(3))
         state.finished.push_back({ row.at(0), decodeTask(row.at(1)), row.at(2), decodeEnum(row.at(3), cell::RunEnd::Alone), row.at(4) });
+    // Earlier versions of this software don't send it.
+    state.areAllEndsListed = json.size() <= 4 || json.at(4).get<bool>();
     return state;
 }
 
--- a/unittests/Cell/CellDeskTest.cpp
+++ b/unittests/Cell/CellDeskTest.cpp
@@ -92,6 +92,8 @@
     Now now { TimePoint(Seconds(100)), 1'700'000'000'000 };
     std::vector<RunningTask> running;
     std::vector<FinishedTask> finished;
+    /// Largest number of ended runs that a VM lists at once.
+    std::size_t maxListedEnds = 500;
     std::vector<StartRun> starts;
     std::vector<StopRun> stops;
     /// While set, commits get no response.
@@ -150,7 +152,8 @@
                 if (beat->vm == "vm-0") {
                     std::erase_if(finished, [&](const auto& end) { return end.number <= beat->acknowledged; });
                     answer.state->running = running;
-                    answer.state->finished = finished;
+                    answer.state->finished.assign(finished.begin(), finished.begin() + static_cast<std::ptrdiff_t>(std::min(finished.size(), maxListedEnds)));
+                    answer.state->areAllEndsListed = finished.size() < maxListedEnds;
                 }
                 desk->onBeat(answer, now);
             }
@@ -385,3 +388,20 @@
     CHECK(cell.answer(submitted) == ErrorKind::StoreUnavailable);
     CHECK(cell.starts.size() == 1);
 }
+
+TEST_CASE("Ended runs that the VM has not listed yet are not taken for lost")
+{
+    TestCell cell(makePolicy(1, { makeQueue("queue", 2) }));
+    cell.submit(jobId, "queue", "team", makeJob(8));
+    cell.run(Milliseconds(200));
+    REQUIRE(cell.starts.size() == 8);
+    for (const auto& start : cell.starts)
+        cell.desk->onStart(start.vm, start.task, start.run, StartAnswer::Started, cell.now);
+    cell.maxListedEnds = 3;
+    const auto starts = cell.starts;
+    for (const auto& start : starts)
+        cell.endRun(start, RunEnd::Done);
+    cell.run(Milliseconds(5000));
+    CHECK(cell.phase(jobId) == "completed");
+    CHECK(cell.starts.size() == 8);
+}
