Soak: starts of cancelled jobs are judged after freezes, cuts and late orders

For 12 s after a freeze, a cut or late orders the soak judged no start of a cancelled job and none on a leaving VM. Orders are judged by when they came to the VM, a VM's orders not until 3 s after a cut of its own link, and disruptions of VMs exempt nothing else.

--- a/test/cell/promises.py
+++ b/test/cell/promises.py
@@ -9,10 +9,8 @@
 CANCEL_S = 3.0
 DRAIN_S = 2.0
 CONFIG_S = 2.0
-# A fault counts as near for so long after its end.
+# A fault counts as near, and the daemons as out of touch, for so long after its end.
 NEAR_S = 3.0
-# Late orders are carried out up to so long after they were sent.
-LATE_S = 12.0
 # A team may be over its limit by this factor, and one task.
 QUOTA_FACTOR = 1.1
 
@@ -53,7 +51,7 @@
         self.checkpoints = defaultdict(set)
         self.use = defaultdict(int)
         self.trouble_until = 0.0
-        self.late_until = 0.0
+        self.out_of_touch_until = 0.0
         self.versions = []
         self.counts = defaultdict(int)
 
@@ -64,6 +62,10 @@
         """A disruption begins that lasts so long."""
         self.trouble_until = max(self.trouble_until, time.monotonic() + seconds + NEAR_S)
 
+    def out_of_touch(self, seconds):
+        """A disruption of daemons, their links or the store begins that lasts so long."""
+        self.out_of_touch_until = max(self.out_of_touch_until, time.monotonic() + seconds + NEAR_S)
+
     def is_calm(self):
         return self.timed and time.monotonic() >= self.trouble_until
 
@@ -94,12 +96,14 @@
         for earlier in job.steps[number].get("after", []):
             if not all(self.is_done(job.id, earlier, i) for i in range(job.steps[earlier]["count"])):
                 self.broken("steps run in their order", f"{text}: step {earlier} is not done")
-        on_time = self.timed and now >= self.late_until
-        if on_time and job.cancelled_at and now > job.cancelled_at + CANCEL_S:
-            self.broken("a cancelled job starts nothing", f"{text}: cancelled {now - job.cancelled_at:.1f} s before")
+        # Bounds in seconds hold for orders of daemons in touch, by when they came: a VM may carry them out late.
+        came = vm.start_came
+        on_time = self.timed and now >= self.out_of_touch_until and came >= vm.held_up_until
+        if on_time and job.cancelled_at and came > job.cancelled_at + CANCEL_S:
+            self.broken("a cancelled job starts nothing", f"{text}: cancelled {came - job.cancelled_at:.1f} s before")
         if job.cancelled_unknown:
             self.broken("a job that was cancelled before it was known never starts", f"{text}: cancelled {now - job.cancelled_at:.1f} s before")
-        if on_time and self.is_calm() and vm.draining and now > vm.draining_since + DRAIN_S:
+        if on_time and self.is_calm() and vm.draining and came > vm.draining_since + DRAIN_S:
             self.broken("a leaving VM gets no new work", text)
         self.runs[run.task].append({"run": run.number, "vm": vm.id, "began": now, "ended": None, "how": None, "noted": False})
         limit = TEAMS[job.team]
--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -12,6 +12,7 @@
 import argparse
 import asyncio
 import json
+import math
 import random
 import signal
 import sys
@@ -19,7 +20,7 @@
 
 import cell as deployment
 from loopback import Channel
-from promises import CONFIG_S, Job, Promises
+from promises import CONFIG_S, NEAR_S, Job, Promises
 
 # After the load and the last fault all accepted work must be done within this time. A lease of ten
 # seconds, a successor's load and a few tries take half of it.
@@ -176,10 +177,10 @@
     async def carry_out(self, verb, target, seconds):
         if verb not in PLANNED:
             # A daemon that was stopped by force is back and caught up some seconds later.
-            self.promises.trouble(seconds + (4.0 if verb in ("kill", "freeze") else 0.0))
-        if verb in ("vm-late", "vm-cut", "vm-silence", "freeze"):
-            # What was on its way meanwhile arrives late, and is carried out late.
-            self.promises.late_until = max(self.promises.late_until, time.monotonic() + seconds + 12.0)
+            until_caught_up = seconds + (4.0 if verb in ("kill", "freeze") else 0.0)
+            self.promises.trouble(until_caught_up)
+            if not verb.startswith("vm-"):
+                self.promises.out_of_touch(until_caught_up)
         undo = getattr(self, "do_" + verb.replace("-", "_"))(target)
         if undo:
             await asyncio.sleep(seconds)
@@ -268,10 +269,16 @@
         return lambda: [vm.come_back() for vm in vms if not vm.up]
 
     def do_vm_cut(self, count):
-        proxies = [self.cell.vm_proxies[vm.id] for vm in self.some_vms(count)]
-        for proxy in proxies:
-            proxy.cut.update(self.random.choice([("up", "down"), ("down",)]))
-        return lambda: [proxy.heal() for proxy in proxies]
+        vms = self.some_vms(count)
+        for vm in vms:
+            self.cell.vm_proxies[vm.id].cut.update(self.random.choice([("up", "down"), ("down",)]))
+            vm.held_up_until = math.inf
+
+        def heal():
+            for vm in vms:
+                self.cell.vm_proxies[vm.id].heal()
+                vm.held_up_until = time.monotonic() + NEAR_S
+        return heal
 
     def do_vm_silence(self, count):
         for vm in self.some_vms(count):
--- a/test/cell/vms.py
+++ b/test/cell/vms.py
@@ -83,6 +83,8 @@
         self.fails_all = False
         self.draining = False
         self.draining_since = 0.0
+        # Orders that come until then may have been held up by a cut of the VM's link.
+        self.held_up_until = 0.0
         self.boot()
 
     def boot(self):
@@ -158,6 +160,7 @@
     async def handle(self, request):
         if not self.up:
             return None
+        request.came = time.monotonic()
         if self.lost and self.random.random() < self.lost:
             # Carried out after newer calls perhaps, and never answered.
             await asyncio.sleep(self.random.choice([0.0, 0.0, self.random.uniform(0.2, 3.0)]))
@@ -175,6 +178,7 @@
             return 409, {"clock_ms": self.clock(), "reason": "fence", "born": self.born}
         self.fence = token
         if request.path == "/run-start":
+            self.start_came = getattr(request, "came", time.monotonic())
             return self.start(body)
         if request.path == "/run-stop":
             return self.stop(body)
