--- a/test/cell/promises.py
+++ b/test/cell/promises.py
@@ -9,7 +9,7 @@
 CANCEL_S = 3.0
 DRAIN_S = 2.0
 CONFIG_S = 2.0
-# A fault counts as near, and the daemons as out of touch, for so long after its end.
+# A fault counts as near, and daemons that stood still as out of touch, for so long after its end.
 NEAR_S = 3.0
 # A team may be over its limit by this factor, and one task.
 QUOTA_FACTOR = 1.1
@@ -63,7 +63,7 @@
         self.trouble_until = max(self.trouble_until, time.monotonic() + seconds + NEAR_S)
 
     def out_of_touch(self, seconds):
-        """A disruption of daemons, their links or the store begins that lasts so long."""
+        """Daemons stand still for so long; they send what was on its way when they go on."""
         self.out_of_touch_until = max(self.out_of_touch_until, time.monotonic() + seconds + NEAR_S)
 
     def is_calm(self):
@@ -96,7 +96,7 @@
         for earlier in job.steps[number].get("after", []):
             if not all(self.is_done(job.id, earlier, i) for i in range(job.steps[earlier]["count"])):
                 self.broken("steps run in their order", f"{text}: step {earlier} is not done")
-        # Bounds in seconds hold for orders of daemons in touch, by when they came: a VM may carry them out late.
+        # Bounds in seconds hold by when the order came: a VM may carry it out late.
         came = vm.start_came
         on_time = self.timed and now >= self.out_of_touch_until and came >= vm.held_up_until
         if on_time and job.cancelled_at and came > job.cancelled_at + CANCEL_S:
--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -127,12 +127,15 @@
 
     async def cancel(self, channels, job):
         job.cancel_sent = True
+        was_accepted = job.accepted_at is not None
         status, _ = await self.call(channels, "DELETE", f"/{job.queue}/{job.id}", team=job.team)
         # 410 acknowledges it as well: the job, which may still be on its way, must not run.
         if status in (200, 410) and job.cancelled_at is None:
             job.cancelled_at = time.monotonic()
             job.cancelled_unknown = status == 410
             self.promises.counts[f"cancelled {status}"] += 1
+        if status == 410 and was_accepted:
+            self.promises.broken("an accepted job is known", f"the cancelling of {job.id} is answered with 410")
 
     async def cancel_early(self, job, pause):
         await asyncio.sleep(pause)
@@ -179,7 +182,7 @@
             # A daemon that was stopped by force is back and caught up some seconds later.
             until_caught_up = seconds + (4.0 if verb in ("kill", "freeze") else 0.0)
             self.promises.trouble(until_caught_up)
-            if not verb.startswith("vm-"):
+            if verb == "freeze":
                 self.promises.out_of_touch(until_caught_up)
         undo = getattr(self, "do_" + verb.replace("-", "_"))(target)
         if undo:
