A delegate answers commands of a replaced owner as fenced

Found by the review, by reading: a delegate that has only heard of the new owner refused the commands of the old one as not sent, and its hello names only a record that it has read from the store. An owner that is cut off from the store was not told, where the VM's own answer used to depose it.

The delegate gives the answer that the VM would give. No test of its own: the two lines are in the core. cell-late-delegates covers the path of the refusal.

--- a/lib/Node/Orders.cpp
+++ b/lib/Node/Orders.cpp
@@ -154,10 +154,15 @@
         }
         return;
     }
-    for (const auto& command : commands.orders)
-        m_delegateResults[link].results.push_back(notSent(command.id));
-    // Tells an owner that has been replaced of its successor.
-    sendHello(link, m_peers.at(link));
+    for (const auto& command : commands.orders) {
+        auto result = notSent(command.id);
+        // Ends the ownership of an owner that has been replaced, as the VM's own answer would.
+        if (validity == CommandValidity::Superseded) {
+            result.outcome = platform::OrderOutcome::Fenced;
+            result.answer = cell::StartAnswer::Fenced;
+        }
+        m_delegateResults[link].results.push_back(std::move(result));
+    }
     schedulePass();
 }
 
