--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -171,14 +171,12 @@
         constexpr Milliseconds slotPollInterval { 2 };
         sleepFiber(m_state->eventLoop.io(), slotPollInterval);
     }
-    // The process may have been paused while a slot became free.
-    if (Clock::now() >= deadline)
-        return ErrorKind::NoEndpoint;
     const ActiveRequestGuard guard(m_state->activeRequests, address);
     auto connection = m_state->popIdleConnection(address);
     if (!connection)
         connection = m_state->connect(address, deadline - Clock::now());
-    if (!connection)
+    // The process may have been paused while it waited for a slot or for the connection.
+    if (!connection || Clock::now() >= deadline)
         return ErrorKind::NoEndpoint;
 
     auto& stream = connection->stream;
