Cancellations of unknown jobs hold beside commits in progress

Two orders of events, found by the review and failing in CellDeskTest before: - The id's earlier record has expired, and its removal waits for a commit. A cancelling or a submission of the same id was written and removed by the same commit. The removal is dropped. - The commit of the cancelling is in progress while the submission arrives and is repeated. The end of that commit made the job durable without the submission, and the repetition was answered at once. It waits for the commit of what has changed.

--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -60,6 +60,7 @@
         return;
     }
     m_outstandingCpuMs += job.workCpuMs;
+    m_removedJobs.erase(id);
     auto& added = m_jobs.emplace(id, std::move(job)).first->second;
     added.sequence = m_nextSequence++;
     m_activeJobs.emplace(id, &added);
@@ -82,7 +83,8 @@
         --m_unsubmittedJobs;
         markDirty(job.id);
     }
-    if (job.isDurable)
+    // A commit in progress may confirm an earlier state of the job.
+    if (job.isDurable && !m_dirtyJobs.contains(job.id))
         m_actions.emplace_back(*after.response);
     else
         m_afterNextCommit.push_back(std::move(after));
@@ -118,6 +120,7 @@
         return nullptr;
     }
     auto& added = m_jobs[id];
+    m_removedJobs.erase(id);
     added.id = id;
     added.phase = JobPhase::Cancelled;
     added.isSubmitted = false;
--- a/unittests/Cell/CellDeskTest.cpp
+++ b/unittests/Cell/CellDeskTest.cpp
@@ -405,3 +405,38 @@
     CHECK(cell.phase(jobId) == "completed");
     CHECK(cell.starts.size() == 8);
 }
+
+TEST_CASE("A cancellation is kept while the removal of the same id waits for a commit")
+{
+    TestCell cell(makePolicy(1, { makeQueue("queue", 2) }));
+    cell.cancel(jobId);
+    cell.run(CellLimits().jobRetention - Milliseconds(100));
+    cell.isStoreSilent = true;
+    cell.submit("another", "queue", "team", makeJob(1));
+    cell.run(Milliseconds(900));
+    cell.cancel(jobId);
+    cell.isStoreSilent = false;
+    cell.desk->onCommitted(cell.now);
+    cell.run(Milliseconds(100));
+    cell.changeOwner(makePolicy(1, { makeQueue("queue", 2) }));
+    cell.submit(jobId, "queue", "team", makeJob(1));
+    cell.run(Milliseconds(500));
+    CHECK(cell.phase(jobId) == "cancelled");
+}
+
+TEST_CASE("A repeated submission of a cancelled job is answered once the first is durable")
+{
+    TestCell cell(makePolicy(1, { makeQueue("queue", 2) }));
+    cell.isStoreSilent = true;
+    cell.cancel(jobId);
+    cell.run(Milliseconds(50));
+    cell.submit(jobId, "queue", "team", makeJob(1));
+    // The commit has the cancellation, but not the submission.
+    cell.desk->onCommitted(cell.now);
+    const auto repeated = cell.submit(jobId, "queue", "team", makeJob(1));
+    cell.run(Milliseconds(50));
+    CHECK_FALSE(cell.answer(repeated));
+    cell.desk->onCommitted(cell.now);
+    cell.run(Milliseconds(50));
+    CHECK(cell.answer(repeated) == ErrorKind::None);
+}
