--- a/lib/Node/Core.cpp
+++ b/lib/Node/Core.cpp
@@ -121,14 +121,17 @@
     m_isPassScheduled = post(closure);
 }
 
-void NodeCore::runPass()
+void NodeCore::checkLease()
 {
-    // After a pause of the process, queued events come before the timer's: the lease must have been
-    // checked against the current time before anything acts on it.
     const auto tenureBefore = m_election.tenure();
     m_election.tick(Clock::now());
     if (tenureBefore == cell::Tenure::Owner && m_election.tenure() == cell::Tenure::Unconfirmed)
         logEvent(LogLevel::Warning, "tenure_changed", { { "from", cell::tenureName(tenureBefore) }, { "to", cell::tenureName(m_election.tenure()) } });
+}
+
+void NodeCore::runPass()
+{
+    checkLease();
     runElection();
     if (m_scheduler) {
         m_scheduler->setTenured(m_election.tenure() == cell::Tenure::Owner);
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -106,6 +106,9 @@
     // Core.cpp
     void tick();
     void runPass();
+    /// Checks the lease against the current time. After a pause of the process, queued events come before the
+    /// timer's, so this must precede everything that acts on the lease.
+    void checkLease();
     void schedulePass();
     cell::Now now() const;
     void updateReadiness();
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -242,8 +242,7 @@
 void NodeCore::handle(LinkId link, const OwnerRequest& request)
 {
     if (m_scheduler) {
-        // After a pause of the process this comes before the next pass, which checks the lease.
-        m_election.tick(Clock::now());
+        checkLease();
         serveRequest(request, { link, request.id });
         schedulePass();
         return;
