Clock values in messages between daemons have bounds

Found in the read-through: a malformed message could carry any time, and the age of a command overflowed. Such messages are refused where they are decoded, as others with values out of their bounds. The new checks in MessagesTest fail without the bounds: the messages were decoded.

--- a/lib/Node/Messages.cpp
+++ b/lib/Node/Messages.cpp
@@ -109,6 +109,8 @@
 
 /// Longest time-out that a peer may ask for, in milliseconds.
 static constexpr std::uint64_t maxTimeoutMs = 60'000;
+/// Latest time on a daemon's clock, in milliseconds since its machine's start: 30,000 years.
+static constexpr std::int64_t maxClockMs = 1'000'000'000'000'000;
 /// Longest validity of a ticket, in milliseconds: four months, as for durations of the configuration.
 static constexpr std::uint64_t maxValidityMs = 10'000'000'000;
 
@@ -140,9 +142,14 @@
     return response.validityMs <= maxValidityMs;
 }
 
+static bool isInBounds(const PeerHello& hello)
+{
+    return hello.clockMs >= 0 && hello.clockMs <= maxClockMs;
+}
+
 static bool isInBounds(const VmCommands& commands)
 {
-    return std::all_of(commands.orders.begin(), commands.orders.end(), [](const VmCommand& command) { return command.waitMs <= maxTimeoutMs; });
+    return commands.issuedAtMs >= 0 && commands.issuedAtMs <= maxClockMs && std::all_of(commands.orders.begin(), commands.orders.end(), [](const VmCommand& command) { return command.waitMs <= maxTimeoutMs; });
 }
 
 Result<PeerMessage> decodePeerMessage(const std::string& bytes)
--- a/unittests/Node/MessagesTest.cpp
+++ b/unittests/Node/MessagesTest.cpp
@@ -67,6 +67,10 @@
     CHECK_FALSE(decodePeerMessage(encodeTagged(7, { { "results", { { 1, 0, 99 } } } })));
     CHECK_FALSE(decodePeerMessage(encodeTagged(7, { { "results", { { 1, 99, 0 } } } })));
     CHECK_FALSE(decodePeerMessage(encodeTagged(6, { { "orders", { { 1, 99, "i-1", "10.0.0.9:80" } } } })));
+    for (const auto time : { std::int64_t(-1), std::numeric_limits<std::int64_t>::min(), std::numeric_limits<std::int64_t>::max() }) {
+        CHECK_FALSE(decodePeerMessage(encodeTagged(0, { { "clockMs", time } })));
+        CHECK_FALSE(decodePeerMessage(encodeTagged(6, { { "issuedAtMs", time } })));
+    }
     CHECK_FALSE(decodePeerMessage(encodeTagged(99, Json::object())));
 }
 
