An owner that is still reading the cell gives it up to a daemon with a larger share

At 13.6 a daemon with 0.12 cores and a link of 10 Mbit/s claims the cell, as it happens to read the store first; the claims of the daemons with 0.5 cores lose by 0.02 to 0.08 s. It owns the cell until all processes are killed at 29 s, and never logs cell_loaded. It reads the jobs, their progress and the log at the same time in pages of up to 1 MB, each of which has 0.9 s; after a time-out it reads all again. The check that gives the cell to a larger daemon was made only once the cell was loaded.

Change: the check is made from the beginning of the ownership.

--- a/lib/Node/Core.cpp
+++ b/lib/Node/Core.cpp
@@ -52,7 +52,8 @@
     constexpr Milliseconds settleTime { 700 };
     constexpr Milliseconds abstention { 2500 };
     const auto time = Clock::now();
-    if (!m_scheduler || m_isStopping || time - m_ownedSince < settleTime || time < m_nextStepDownCheck)
+    // Also while the cell is being read, which a daemon with a small share may never finish.
+    if (!m_election.isOwner() || m_isStopping || time - m_ownedSince < settleTime || time < m_nextStepDownCheck)
         return;
     m_nextStepDownCheck = time + settleTime;
     for (const auto& [link, peer] : m_peers) {
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -212,6 +212,7 @@
 {
     logEvent(LogLevel::Info, "ownership_began", { { "fencing_token", began.fencingToken } });
     ++m_ownershipNumber;
+    m_ownedSince = Clock::now();
     m_ownershipEnded = std::make_shared<std::atomic<bool>>(false);
     m_registry.clear();
     m_isRegistryKnown = false;
