--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -5,8 +5,8 @@
 
 A scenario has a line for each fault: "at SECONDS VERB [TARGET] [for SECONDS]"; "load SECONDS" says
 how long callers send, "rate JOBS" how many a second, and "cancel-early SHARE" how many of them cancel
-without waiting for an answer; "daemons COUNT" and "vms COUNT" go before the options. A seed makes such a scenario; the lines of one that fails are printed, so that
-it can be kept as a file.
+without waiting for an answer; "daemons COUNT" and "vms COUNT" go before the options. A seed makes such a
+scenario; the lines of one that fails are printed, so that it can be kept as a file.
 """
 
 import argparse
