--- a/unittests/Cell/CellDeskTest.cpp
+++ b/unittests/Cell/CellDeskTest.cpp
@@ -1,178 +1,10 @@
-#include "heatherchute/Cell.h"
+#include "TestCell.h"
 
 #include <catch2/catch.hpp>
 
 using namespace heatherchute;
 using namespace heatherchute::cell;
 
-namespace {
-
-QueuePolicy makeQueue(const std::string& name, std::uint32_t maxAttempts)
-{
-    QueuePolicy queue;
-    queue.name = name;
-    queue.service = "workers";
-    queue.maxAttempts = maxAttempts;
-    return queue;
-}
-
-CellPolicyPointer makePolicy(std::uint64_t version, std::vector<QueuePolicy> queues, std::vector<TeamPolicy> teams = { { "team", { "key" }, 100, {} } })
-{
-    CellPolicy policy;
-    policy.version = version;
-    policy.queues = std::move(queues);
-    policy.teams = std::move(teams);
-    return std::make_shared<const CellPolicy>(std::move(policy));
-}
-
-JobSpec makeJob(std::uint32_t tasks, std::int64_t cpuMilli = 1000)
-{
-    JobSpec spec;
-    spec.steps.resize(1);
-    spec.steps[0].tasks = tasks;
-    spec.steps[0].need = { cpuMilli, 100, 0 };
-    spec.steps[0].estimateMs = 1000;
-    return spec;
-}
-
-/// A scheduler whose commits succeed at once and whose VMs respond to every heartbeat with the lists in
-/// `running` and `finished`. Start and stop commands are recorded and left to the test.
-class TestCell {
-public:
-    explicit TestCell(CellPolicyPointer policy, std::size_t vms = 1)
-        : m_vms(vms)
-    {
-        begin(std::move(policy));
-    }
-
-    /// Replaces the scheduler by that of the next owner, which has the state in the store.
-    void changeOwner(CellPolicyPointer policy)
-    {
-        begin(std::move(policy));
-    }
-
-    void run(Milliseconds time)
-    {
-        for (const auto end = now.steady + time; now.steady < end; now.steady += Milliseconds(10))
-            pass();
-    }
-
-    /// Ends a run that the VM has been told to start.
-    void endRun(const StartRun& start, RunEnd end) { finished.push_back({ ++m_lastEnd, start.task, start.run, end, {} }); }
-
-    CallId submit(const std::string& id, const std::string& queue, const std::string& team, JobSpec spec)
-    {
-        desk->submit(m_nextCall, id, queue, team, std::move(spec), now);
-        return m_nextCall++;
-    }
-
-    CallId cancel(const std::string& id)
-    {
-        desk->cancel(m_nextCall, id, now);
-        return m_nextCall++;
-    }
-
-    /// Result of a call; nullopt while there is none.
-    std::optional<ErrorKind> answer(CallId call) const
-    {
-        const auto found = m_answers.find(call);
-        return found == m_answers.end() ? std::nullopt : std::optional(found->second);
-    }
-
-    /// Replaces what the store has of the job's progress by bytes that can't be decoded.
-    void damageProgress(const std::string& id) { m_store[progressPrefix + id] = "?"; }
-
-    std::string phase(const std::string& id) const
-    {
-        const auto phase = desk->query(id);
-        return phase ? std::string(jobPhaseName(*phase)) : "unknown";
-    }
-
-    std::unique_ptr<CellDesk> desk;
-    Now now { TimePoint(Seconds(100)), 1'700'000'000'000 };
-    std::vector<RunningTask> running;
-    std::vector<FinishedTask> finished;
-    /// Largest number of ended runs that a VM lists at once.
-    std::size_t maxListedEnds = 500;
-    std::vector<StartRun> starts;
-    std::vector<StopRun> stops;
-    /// While set, commits get no response.
-    bool isStoreSilent = false;
-
-private:
-    void begin(CellPolicyPointer policy)
-    {
-        desk = std::make_unique<CellDesk>(CellLimits(), now.steady + Seconds(9));
-        if (policy)
-            desk->setPolicy(std::move(policy));
-        std::map<std::string, StoredJob> jobs;
-        for (const auto& [key, value] : m_store) {
-            const bool isSubmission = key.starts_with(submissionPrefix);
-            const auto id = key.substr(isSubmission ? submissionPrefix.size() : progressPrefix.size());
-            jobs[id].id = id;
-            (isSubmission ? jobs[id].submission : jobs[id].progress) = value;
-        }
-        std::vector<StoredJob> stored;
-        for (const auto& [id, job] : jobs)
-            stored.push_back(job);
-        desk->load(stored, now);
-        std::vector<VmReport> reports;
-        for (std::size_t i = 0; i < m_vms; ++i) {
-            VmReport report;
-            report.id = "vm-" + std::to_string(i);
-            report.service = "workers";
-            report.address = { "127.0.0.1", 1 };
-            report.capacity = { 64'000, 262'144, 0 };
-            report.incarnation = 1;
-            reports.push_back(report);
-        }
-        desk->setVms(reports, now);
-    }
-
-    void pass()
-    {
-        desk->advance(now);
-        bool isCommitted = false;
-        for (const auto& action : desk->takeActions()) {
-            if (const auto* const response = std::get_if<AnswerCall>(&action)) {
-                m_answers[response->call] = response->error;
-            } else if (const auto* const commit = std::get_if<CommitState>(&action)) {
-                if (isStoreSilent)
-                    continue;
-                isCommitted = true;
-                for (const auto& write : commit->writes)
-                    m_store[write.key] = write.value;
-                std::erase_if(m_store, [](const auto& entry) { return entry.second.empty(); });
-            } else if (const auto* const start = std::get_if<StartRun>(&action)) {
-                starts.push_back(*start);
-            } else if (const auto* const stop = std::get_if<StopRun>(&action)) {
-                stops.push_back(*stop);
-            } else if (const auto* const beat = std::get_if<BeatVm>(&action)) {
-                BeatAnswer answer { beat->vm, now.steady, false, VmState { std::chrono::duration_cast<Milliseconds>(now.steady.time_since_epoch()).count(), 1, {}, {} } };
-                if (beat->vm == "vm-0") {
-                    std::erase_if(finished, [&](const auto& end) { return end.number <= beat->acknowledged; });
-                    answer.state->running = running;
-                    answer.state->finished.assign(finished.begin(), finished.begin() + static_cast<std::ptrdiff_t>(std::min(finished.size(), maxListedEnds)));
-                    answer.state->areAllEndsListed = finished.size() < maxListedEnds;
-                }
-                desk->onBeat(answer, now);
-            }
-        }
-        if (isCommitted)
-            desk->onCommitted(now);
-    }
-
-    std::size_t m_vms;
-    std::map<std::string, std::string> m_store;
-    std::uint64_t m_lastEnd = 0;
-    CallId m_nextCall = 1;
-    std::map<CallId, ErrorKind> m_answers;
-};
-
-const std::string jobId = "0000000000000001";
-
-} // namespace
-
 // Guards against two runs of a task at the same time: a start command without a response that is executed
 // late, after its VM has refused to stop the run.
 TEST_CASE("A run is not lost while its VM refuses the stop command")
@@ -182,10 +14,10 @@
     cell.run(Milliseconds(200));
     REQUIRE(cell.starts.size() == 1);
     const auto first = cell.starts[0];
-    cell.desk->onStart(first.vm, first.task, first.run, StartAnswer::Unknown, cell.now);
+    cell.answerStart(first, StartAnswer::Unknown);
     cell.run(Milliseconds(200));
     REQUIRE(cell.starts.size() == 2);
-    cell.desk->onStart(first.vm, first.task, first.run, StartAnswer::Unhealthy, cell.now);
+    cell.answerStart(first, StartAnswer::Unhealthy);
     for (std::size_t refused = 0; refused < 5; ++refused) {
         cell.run(Milliseconds(1100));
         // The VM doesn't list the run, but may still start it.
@@ -247,7 +79,7 @@
     const bool isOwnerChanged = GENERATE(false, true);
     for (std::size_t attempt = 1; attempt < queue.maxAttempts; ++attempt) {
         const auto& start = cell.starts.back();
-        cell.desk->onStart(start.vm, start.task, start.run, StartAnswer::Started, cell.now);
+        cell.answerStart(start, StartAnswer::Started);
         cell.running = { { start.task, start.run, {}, 0 } };
         cell.run(Milliseconds(100));
         // The next owner knows of no policy that has the queue.
@@ -273,7 +105,7 @@
     cell.run(Milliseconds(200));
     REQUIRE(cell.starts.size() == 1);
     const auto start = cell.starts.back();
-    cell.desk->onStart(start.vm, start.task, start.run, StartAnswer::Started, cell.now);
+    cell.answerStart(start, StartAnswer::Started);
     cell.running = { { start.task, start.run, {}, 0 } };
     cell.changeOwner(nullptr);
     cell.run(Milliseconds(100));
@@ -297,7 +129,7 @@
     cell.run(Milliseconds(200));
     REQUIRE(cell.starts.size() == 1);
     cell.running = { { cell.starts[0].task, cell.starts[0].run, {}, 0 } };
-    cell.desk->onStart(cell.starts[0].vm, cell.starts[0].task, cell.starts[0].run, StartAnswer::Started, cell.now);
+    cell.answerStart(cell.starts[0], StartAnswer::Started);
     cell.desk->setPolicy(makePolicy(2, {}, {}));
     cell.run(Milliseconds(500));
     CHECK(cell.starts.size() == 1);
@@ -396,7 +228,7 @@
     cell.run(Milliseconds(200));
     REQUIRE(cell.starts.size() == 8);
     for (const auto& start : cell.starts)
-        cell.desk->onStart(start.vm, start.task, start.run, StartAnswer::Started, cell.now);
+        cell.answerStart(start, StartAnswer::Started);
     cell.maxListedEnds = 3;
     const auto starts = cell.starts;
     for (const auto& start : starts)
