The clock in a VM's response to a start command is logged when it is not the known incarnation's

The logs could not tell the hypotheses of the incident apart: the clock in the response to a start was decoded and dropped, and no line said when the last lease was granted, nor whether the VM had ever listed the runs whose leases are over. Now - vm_clock_behind: the response to a start shows a clock behind the last one known, so another incarnation took the command; - vm_reborn and vm_leases_over tell when the last lease was granted; the latter also which incarnation was known, and how many of the runs no response has confirmed in it. Delegates send the clocks beside their results, which earlier versions ignore. No decision depends on any of it yet.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -123,6 +123,17 @@
     std::optional<VmState> state;
 };
 
+/// Response of a VM to a start command.
+struct StartResponse {
+    std::string vm;
+    TaskId task;
+    std::uint32_t run = 0;
+    StartAnswer answer = StartAnswer::Unknown;
+    TimePoint sentAt;
+    /// The VM's clock when it responded, in milliseconds; zero if unknown.
+    std::int64_t clockMs = 0;
+};
+
 /// Response of the advice service; `allowed` is empty if there was no response.
 struct AdviceAnswer {
     std::uint64_t daemon = 0;
@@ -161,7 +172,7 @@
     std::uint64_t pending(const std::string& queue) const;
 
     void onBeat(const BeatAnswer& response, Now now);
-    void onStart(const std::string& vm, const TaskId& task, std::uint32_t run, StartAnswer response, Now now);
+    void onStart(const StartResponse& response, Now now);
     void onStop(const std::string& vm, const TaskId& task, std::uint32_t run, StopAnswer response, Now now);
     void onAdvice(const AdviceAnswer& response, Now now);
     void onCommitted(Now now);
@@ -187,6 +198,12 @@
 
 private:
     struct ReadyStep;
+    enum class ClockOrigin : std::uint8_t {
+        KnownIncarnation,
+        /// The clock is behind that of the known incarnation.
+        LaterIncarnation,
+        Unknown,
+    };
     /// Effects that are applied once the commit that contains the related state is durable.
     struct AfterCommit {
         std::optional<AnswerCall> response;
@@ -256,6 +273,16 @@
     void stopAll(Job& job, Now now);
     void markRunLost(const TaskId& task, std::string_view reason, Now now);
 
+    // Leases.cpp
+    /// Deadline of a new lease on the VM's clock; zero if the clock is unknown.
+    std::int64_t leaseDeadlineMs(const Vm& vm, Now now) const;
+    /// Extends the bound of the VM's leases for a command that is sent now.
+    void extendLeaseEnd(Vm& vm, Now now) const;
+    /// Returns which incarnation the VM's clock in a response belongs to.
+    static ClockOrigin originOf(const Vm& vm, std::int64_t clockMs, TimePoint sentAt, Now now);
+    /// Compares the clock in the response to a start command with the clock of the known incarnation.
+    void checkClock(Vm& vm, const StartResponse& response, Now now);
+
     // Vms.cpp
     void sendHeartbeats(Now now);
     /// Returns true if it is unknown, for lack of a response, whether the VM still has some run.
@@ -266,8 +293,6 @@
     void sendDueCommands(Now now);
     void sendStart(Placement& placement, Vm& vm, Now now);
     void sendStop(Placement& placement, Vm& vm);
-    std::int64_t leaseDeadlineMs(const Vm& vm, Now now) const;
-    void extendLeaseEnd(Vm& vm, Now now) const;
     bool isUsable(const Vm& vm, Now now) const;
     void quarantine(Vm& vm, Milliseconds duration, std::string_view reason, Now now);
 
--- a/include/heatherchute/CellState.h
+++ b/include/heatherchute/CellState.h
@@ -123,6 +123,8 @@
     bool started = false;
     /// A start command got no response, so the VM may still carry it out.
     bool startUnconfirmed = false;
+    /// The incarnation in `incarnation` has confirmed that it has the run.
+    bool isIncarnationConfirmed = false;
     bool stopRequested = false;
     bool stopAcknowledged = false;
     /// Number of stop commands in a row that the VM refused.
@@ -156,6 +158,10 @@
     /// The VM's clock at `clockAt`, in milliseconds; zero if unknown.
     std::int64_t clockMs = 0;
     TimePoint clockAt;
+    /// When the heartbeat was sent whose response has `clockMs`.
+    TimePoint clockRequestedAt;
+    /// When the latest command that grants a lease was sent.
+    TimePoint lastGrantAt;
     /// Time by which every lease that the VM may hold has expired.
     TimePoint leaseEnd;
     std::uint64_t lastProcessedEnd = 0;
--- a/lib/Cell/Runs.cpp
+++ b/lib/Cell/Runs.cpp
@@ -178,22 +178,25 @@
     }
 }
 
-void CellDesk::onStart(const std::string& vmId, const TaskId& task, std::uint32_t run, StartAnswer response, Now now)
+void CellDesk::onStart(const StartResponse& response, Now now)
 {
     /// How long a start command is retried at its VM before the run is abandoned there.
     constexpr Milliseconds startRetryWindow { 1200 };
     constexpr Milliseconds startRetry { 120 };
+    if (const auto vm = m_vms.find(response.vm); vm != m_vms.end())
+        checkClock(vm->second, response, now);
+    const auto& task = response.task;
     const auto found = m_placements.find(task);
-    if (found == m_placements.end() || found->second.run != run || found->second.vm != vmId)
+    if (found == m_placements.end() || found->second.run != response.run || found->second.vm != response.vm)
         return;
     auto& placement = found->second;
-    auto& vm = m_vms.at(vmId);
+    auto& vm = m_vms.at(response.vm);
     placement.commandInFlight = false;
-    if (response != StartAnswer::Started)
-        m_actions.emplace_back(Decision { "start_not_taken", { { "task", taskText(task) }, { "run", run }, { "vm", vmId }, { "answer", startAnswerName(response) } } });
+    if (response.answer != StartAnswer::Started)
+        m_actions.emplace_back(Decision { "start_not_taken", { { "task", taskText(task) }, { "run", response.run }, { "vm", response.vm }, { "answer", startAnswerName(response.answer) } } });
     auto* const ownerJob = job(task.job);
     const bool isRetryWindowOver = now.steady - placement.firstCommandAt > startRetryWindow;
-    switch (response) {
+    switch (response.answer) {
     case StartAnswer::Started:
         placement.started = true;
         placement.lastResponseAt = now.steady;
@@ -207,7 +210,7 @@
         placement.lastResponseAt = now.steady;
         return;
     case StartAnswer::Fenced:
-        m_actions.emplace_back(LostOwnership { vmId });
+        m_actions.emplace_back(LostOwnership { response.vm });
         return;
     case StartAnswer::Unknown:
         placement.startUnconfirmed = true;
@@ -227,7 +230,7 @@
         break;
     case StartAnswer::BadTicket:
         if (auto* const advice = findAdvice(task))
-            advice->allowed.erase(vmId);
+            advice->allowed.erase(response.vm);
         break;
     case StartAnswer::Unhealthy:
         quarantine(vm, Milliseconds(2000), "unhealthy", now);
@@ -245,7 +248,7 @@
         placement.nextCommandAt = now.steady;
         return;
     }
-    markRunLost(task, startAnswerName(response), now);
+    markRunLost(task, startAnswerName(response.answer), now);
 }
 
 void CellDesk::onStop(const std::string& vmId, const TaskId& task, std::uint32_t run, StopAnswer response, Now now)
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -18,24 +18,6 @@
 /// Consecutive missed heartbeats after which the runs of a VM count as lost once its leases expire.
 static constexpr unsigned missedHeartbeatsUntilUnresponsive = 2;
 
-std::int64_t CellDesk::leaseDeadlineMs(const Vm& vm, Now now) const
-{
-    if (vm.clockMs == 0)
-        return 0;
-    const auto sinceClock = std::chrono::duration_cast<Milliseconds>(now.steady - vm.clockAt);
-    return vm.clockMs + (sinceClock + m_limits.vmLease).count();
-}
-
-void CellDesk::extendLeaseEnd(Vm& vm, Now now) const
-{
-    /// A VM's clock may be 2% slow, and is ahead of its last known reading by the one-way network
-    /// latency.
-    constexpr double slowestClock = 1.03;
-    constexpr Milliseconds clockSlack { 300 };
-    const auto longest = std::chrono::duration_cast<Duration>(m_limits.vmLease * slowestClock) + clockSlack;
-    vm.leaseEnd = std::max(vm.leaseEnd, now.steady + longest);
-}
-
 bool CellDesk::isUsable(const Vm& vm, Now now) const
 {
     /// A VM without a response for longer than this gets no new runs.
@@ -119,6 +101,7 @@
     auto& placement = found->second;
     placement.started = true;
     placement.incarnation = vm.incarnation;
+    placement.isIncarnationConfirmed = true;
     if (!isFinal(ownerJob->phase))
         markRunning(*ownerJob);
     if (running.checkpoint.empty() || placement.abandoned)
@@ -176,7 +159,7 @@
     if (vm.incarnation != state.incarnation) {
         // A new incarnation restarts its numbering, its clock and its fencing token.
         if (vm.incarnation != 0)
-            m_actions.emplace_back(Decision { "vm_reborn", { { "vm", response.vm }, { "before", vm.incarnation }, { "now", state.incarnation }, { "placements", vm.placements.size() } } });
+            m_actions.emplace_back(Decision { "vm_reborn", { { "vm", response.vm }, { "before", vm.incarnation }, { "now", state.incarnation }, { "placements", vm.placements.size() }, { "lease_granted_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.lastGrantAt).count() }, { "acknowledged", vm.lastAcknowledgedEnd } } });
         vm.incarnation = state.incarnation;
         vm.lastProcessedEnd = 0;
         vm.lastAcknowledgedEnd = 0;
@@ -187,6 +170,7 @@
     vm.lastResponseAt = now.steady;
     vm.clockMs = state.clockMs;
     vm.clockAt = now.steady;
+    vm.clockRequestedAt = response.sentAt;
     vm.nextHeartbeatAt = now.steady + heartbeatPause;
     std::uint64_t newest = vm.lastProcessedEnd;
     for (const auto& finished : state.finished) {
@@ -216,13 +200,16 @@
         if (!isUnresponsive || now.steady < vm.leaseEnd)
             continue;
         const auto expiredBefore = expired.size();
+        std::size_t unconfirmed = 0;
         for (const auto& task : vm.placements) {
             const auto& placement = m_placements.at(task);
-            if (placement.isDurable && !placement.commandInFlight)
-                expired.push_back(task);
+            if (!placement.isDurable || placement.commandInFlight)
+                continue;
+            expired.push_back(task);
+            unconfirmed += placement.isIncarnationConfirmed && !placement.startUnconfirmed ? 0 : 1;
         }
         if (expired.size() > expiredBefore)
-            m_actions.emplace_back(Decision { "vm_leases_over", { { "vm", id }, { "runs", expired.size() - expiredBefore }, { "inherited", vm.leaseEnd == m_inheritedLeaseEnd }, { "fenced", vm.fenced }, { "listed", vm.listed } } });
+            m_actions.emplace_back(Decision { "vm_leases_over", { { "vm", id }, { "runs", expired.size() - expiredBefore }, { "unconfirmed", unconfirmed }, { "incarnation", vm.incarnation }, { "lease_granted_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.lastGrantAt).count() }, { "inherited", vm.leaseEnd == m_inheritedLeaseEnd }, { "fenced", vm.fenced }, { "listed", vm.listed } } });
     }
     for (const auto& task : expired)
         markRunLost(task, "lease_over", now);
--- a/lib/Node/Messages.cpp
+++ b/lib/Node/Messages.cpp
@@ -102,6 +102,29 @@
         result.state = decodeState(json.at(3));
 }
 
+void to_json(Json& json, const VmResults& results)
+{
+    // Apart from the results, as earlier versions of this software read a fourth element as the VM's state.
+    auto clocks = Json::array();
+    for (const auto& result : results.results) {
+        if (result.clockMs > 0)
+            clocks.push_back({ result.id, result.clockMs });
+    }
+    json = { { "results", results.results }, { "clocks", std::move(clocks) } };
+}
+
+void from_json(const Json& json, VmResults& results)
+{
+    results.results = json.value("results", std::vector<VmResult>());
+    std::map<std::uint64_t, std::int64_t> clocks;
+    for (const auto& row : json.value("clocks", Json::array()))
+        clocks.emplace(row.at(0), row.at(1));
+    for (auto& result : results.results) {
+        if (const auto clock = clocks.find(result.id); clock != clocks.end())
+            result.clockMs = clock->second;
+    }
+}
+
 std::string encodePeerMessage(const PeerMessage& message)
 {
     return encodeCbor(toTagged(message));
@@ -152,6 +175,11 @@
     return commands.issuedAtMs >= 0 && commands.issuedAtMs <= maxClockMs && std::all_of(commands.orders.begin(), commands.orders.end(), [](const VmCommand& command) { return command.waitMs <= maxTimeoutMs; });
 }
 
+static bool isInBounds(const VmResults& results)
+{
+    return std::all_of(results.results.begin(), results.results.end(), [](const VmResult& result) { return result.clockMs >= 0 && result.clockMs <= maxClockMs; });
+}
+
 Result<PeerMessage> decodePeerMessage(const std::string& bytes)
 {
     const auto document = decodeCbor(bytes);
--- a/lib/Node/Messages.h
+++ b/lib/Node/Messages.h
@@ -130,6 +130,8 @@
     cell::StartAnswer answer = cell::StartAnswer::Unknown;
     /// Set for a successful heartbeat.
     std::optional<cell::VmState> state;
+    /// The VM's clock in its response to a start command; zero if there is none.
+    std::int64_t clockMs = 0;
 };
 void to_json(Json& json, const VmResult& result);
 void from_json(const Json& json, VmResult& result);
@@ -137,7 +139,8 @@
 struct VmResults {
     std::vector<VmResult> results;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmResults, results)
+void to_json(Json& json, const VmResults& results);
+void from_json(const Json& json, VmResults& results);
 
 /// The owner gives up the cell because it reaches too few VMs. A daemon that receives this is most
 /// likely on the same side of the network partition.
--- a/lib/Node/Orders.cpp
+++ b/lib/Node/Orders.cpp
@@ -92,7 +92,7 @@
 /// Result of a command that was certainly not sent.
 static VmResult notSent(std::uint64_t id)
 {
-    return { id, platform::OrderOutcome::NotSent, cell::StartAnswer::NotSent, std::nullopt };
+    return { id, platform::OrderOutcome::NotSent, cell::StartAnswer::NotSent, std::nullopt, 0 };
 }
 
 static VmResult sendCommand(platform::VmClient& vms, const VmCommand& command, std::uint64_t fencingToken)
@@ -106,9 +106,12 @@
     VmResult result;
     result.id = command.id;
     switch (command.kind) {
-    case VmCommandKind::Start:
-        result.answer = vms.start({ address.value(), command.vm, *task, command.run, command.payload, command.deadlineMs, fencingToken, command.checkpoint, command.ticket }).answer;
+    case VmCommandKind::Start: {
+        const auto response = vms.start({ address.value(), command.vm, *task, command.run, command.payload, command.deadlineMs, fencingToken, command.checkpoint, command.ticket });
+        result.answer = response.answer;
+        result.clockMs = response.clockMs;
         break;
+    }
     case VmCommandKind::Stop:
         result.outcome = vms.stop({ address.value(), command.vm, *task, command.run, fencingToken });
         break;
@@ -209,7 +212,7 @@
         m_metrics.count("starts", std::string(cell::startAnswerName(result.answer)));
         if (const auto* const job = m_scheduler->findJob(command.task.job); job && result.answer == cell::StartAnswer::Started)
             m_metrics.observe(Measure::Waiting, job->queue, job->team, Clock::now() - job->acceptedAt);
-        m_scheduler->onStart(command.vm, command.task, command.run, result.answer, now());
+        m_scheduler->onStart({ command.vm, command.task, command.run, result.answer, command.sentAt, result.clockMs }, now());
         break;
     case VmCommandKind::Stop: {
         logEvent(LogLevel::Info, "stop_answered", { { "task", cell::taskText(command.task) }, { "run", command.run }, { "vm", command.vm }, { "outcome", platform::orderOutcomeName(result.outcome) } });
@@ -230,7 +233,7 @@
     for (const auto& [id, command] : m_commands) {
         // A command that this daemon sends itself always returns within its own timeout.
         if (command.link != 0 && time >= command.deadline)
-            lost.push_back({ id, platform::OrderOutcome::Unknown, cell::StartAnswer::Unknown, std::nullopt });
+            lost.push_back({ id, platform::OrderOutcome::Unknown, cell::StartAnswer::Unknown, std::nullopt, 0 });
     }
     for (const auto& result : lost)
         onVmResult(result);
--- a/tools/cell-model/ModelVms.cpp
+++ b/tools/cell-model/ModelVms.cpp
@@ -163,8 +163,9 @@
 
 void World::start(std::uint64_t owner, std::uint64_t fence, const StartRun& order)
 {
-    const auto lost = [this, owner, order] {
-        toOwner(owner, Milliseconds(700), [this, order] { m_desk->onStart(order.vm, order.task, order.run, StartAnswer::Unknown, m_clock.deskTime()); });
+    const auto sentAt = m_clock.now();
+    const auto lost = [this, owner, order, sentAt] {
+        toOwner(owner, Milliseconds(700), [this, order, sentAt] { m_desk->onStart({ order.vm, order.task, order.run, StartAnswer::Unknown, sentAt, 0 }, m_clock.deskTime()); });
     };
     auto delay = wire();
     const bool isLate = m_dice.uniform() < m_settings.faults.lateOrders;
@@ -174,7 +175,7 @@
     if (isLost)
         lost();
     const auto sentTo = m_vms.at(order.vm).bornAt;
-    m_clock.after(delay, [this, owner, fence, order, isLost, lost, sentTo] {
+    m_clock.after(delay, [this, owner, fence, order, isLost, lost, sentAt, sentTo] {
         auto& vm = m_vms.at(order.vm);
         // An order that a VM keeps for later dies with that life of the VM.
         const bool isDelivered = isReachable(vm) && vm.bornAt == sentTo;
@@ -185,7 +186,7 @@
         const auto answer = startAt(vm, fence, order);
         trace(startAnswerName(answer), "start " + taskText(order.task) + " run " + std::to_string(order.run) + " on " + order.vm + " fence " + std::to_string(fence));
         if (!isLost)
-            toOwner(owner, wire(), [this, order, answer] { m_desk->onStart(order.vm, order.task, order.run, answer, m_clock.deskTime()); });
+            toOwner(owner, wire(), [this, order, answer, sentAt, clockMs = vm.clockMs(m_clock.now())] { m_desk->onStart({ order.vm, order.task, order.run, answer, sentAt, clockMs }, m_clock.deskTime()); });
     });
 }
 
--- a/unittests/Node/MessagesTest.cpp
+++ b/unittests/Node/MessagesTest.cpp
@@ -26,7 +26,8 @@
     VmResult beat;
     beat.outcome = platform::OrderOutcome::Done;
     beat.state = cell::VmState { 5, 7, { { { "j", 0, 0, 1 }, 2, "c", 0 } }, { { 3, { "j", 0, 0, 2 }, 1, cell::RunEnd::Done, "" } } };
-    return { PeerHello { "a", "z", "i", 4, true, "10.0.0.1:7", 9, 0.5, "10.0.0.2:7", 12, 70'000 }, submission, VmCommands { 9, { start }, 71'000 }, VmResults { { beat } }, AdviceRequest { 1, "j.0.0", { "i-1" }, 500 } };
+    const VmResult started { 4, platform::OrderOutcome::Unknown, cell::StartAnswer::Started, std::nullopt, 72'000 };
+    return { PeerHello { "a", "z", "i", 4, true, "10.0.0.1:7", 9, 0.5, "10.0.0.2:7", 12, 70'000 }, submission, VmCommands { 9, { start }, 71'000 }, VmResults { { beat, started } }, AdviceRequest { 1, "j.0.0", { "i-1" }, 500 } };
 }
 
 /// Encodes a message of the kind with this number.
@@ -70,6 +71,7 @@
     for (const auto time : { std::int64_t(-1), std::numeric_limits<std::int64_t>::min(), std::numeric_limits<std::int64_t>::max() }) {
         CHECK_FALSE(decodePeerMessage(encodeTagged(0, { { "clockMs", time } })));
         CHECK_FALSE(decodePeerMessage(encodeTagged(6, { { "issuedAtMs", time } })));
+        CHECK_FALSE(decodePeerMessage(encodeTagged(7, { { "results", { { 1, 0, 0 } } }, { "clocks", { { 1, time } } } })));
     }
     CHECK_FALSE(decodePeerMessage(encodeTagged(99, Json::object())));
 }
