Soak: VMs that start anew under their ids are cut off soon after; the new scenario fails

The stand-in's responses to starts and stops no longer carry "born": the platform's don't. A restarted VM may be late to register, as the platform's are; before, the stand-in reported it at once, so that owners heard of it within 0.1 s.

--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -4,9 +4,10 @@
 usage: soak.py --build DIR [--keep] [--untimed] [--daemons N] [--vms N] (FILE.scn... | --seed N [--count N])
 
 A scenario has a line for each fault: "at SECONDS VERB [TARGET] [for SECONDS]"; "load SECONDS" says
-how long callers send, "rate JOBS" how many a second, and "cancel-early SHARE" how many of them cancel
-without waiting for an answer; "daemons COUNT" and "vms COUNT" go before the options. A seed makes such a
-scenario; the lines of one that fails are printed, so that it can be kept as a file.
+how long callers send, "rate JOBS" how many a second, "cancel-early SHARE" how many of them cancel
+without waiting for an answer, and "long SHARE" how many jobs run for longer than any lease; "daemons COUNT"
+and "vms COUNT" go before the options. A seed makes such a scenario; the lines of one that fails are printed,
+so that it can be kept as a file.
 """
 
 import argparse
@@ -35,7 +36,7 @@
 class Callers:
     """Callers hand jobs in, ask for them, cancel some, and keep their connections while they can."""
 
-    def __init__(self, cell, promises, seed, rate, early_cancel_share):
+    def __init__(self, cell, promises, seed, rate, early_cancel_share, long_share):
         self.cell = cell
         self.promises = promises
         self.random = random.Random(seed)
@@ -47,6 +48,9 @@
         # Share of the callers that cancel without waiting for the answer to their submission.
         self.early_cancel_share = early_cancel_share
         self.early = random.Random(seed + 1)
+        # Share of the jobs whose tasks run for longer than any lease.
+        self.long_share = long_share
+        self.long = random.Random(seed + 2)
 
     async def balance(self):
         """Takes daemons out of rotation after two missed health checks, as the platform does."""
@@ -76,6 +80,9 @@
                 "count": count, "cpu": self.random.randint(300, 2000), "mem_mb": self.random.randint(100, 4000),
                 "run_ms": self.random.randint(100, 1500 if queue == "large" else 500), "gang": count if gang else 0,
                 "saves": self.random.random() < 0.5, "fails": 0.02, "after": [number - 1] if number else []})
+        if self.long.random() < self.long_share:
+            for step in steps:
+                step["run_ms"] = self.long.randint(12_000, 16_000)
         payload = json.dumps({"queue": queue, "steps": steps})
         body = {"spec": payload, "steps": [
             {"count": step["count"], "cpu": step["cpu"], "mem_mb": step["mem_mb"], "estimate_ms": step["run_ms"],
@@ -271,6 +278,32 @@
             vm.crash()
         return lambda: [vm.come_back() for vm in vms if not vm.up]
 
+    def do_vm_recut(self, count):
+        """VMs go dark, start anew under their ids, and are cut off before the registry has shown it for long."""
+        vms = [vm for vm in self.some_vms(count) if vm.up]
+        for vm in vms:
+            vm.crash()
+            self.cell.vm_proxies[vm.id].cut.update(("up", "down"))
+
+        async def restart():
+            await asyncio.sleep(0.6)
+            for vm in vms:
+                vm.come_back(reports=False)
+                self.cell.vm_proxies[vm.id].heal()
+            await asyncio.sleep(self.random.uniform(0.3, 1.4))
+            for vm in vms:
+                self.cell.vm_proxies[vm.id].cut.update(("up", "down"))
+                vm.held_up_until = math.inf
+
+        task = asyncio.ensure_future(restart())
+
+        def heal():
+            task.cancel()
+            for vm in vms:
+                self.cell.vm_proxies[vm.id].heal()
+                vm.held_up_until = time.monotonic() + NEAR_S
+        return heal
+
     def do_vm_cut(self, count):
         vms = self.some_vms(count)
         for vm in vms:
@@ -378,7 +411,7 @@
 
 def parse_scenario(lines):
     """The scenario's settings by name, and its faults."""
-    settings, faults = {"load": 8.0, "rate": 8.0, "cancel-early": 0.05, "daemons": None, "vms": None}, []
+    settings, faults = {"load": 8.0, "rate": 8.0, "cancel-early": 0.05, "long": 0.0, "daemons": None, "vms": None}, []
     for line in lines:
         words = line.split("#")[0].split()
         if not words:
@@ -400,7 +433,7 @@
     tasks = []
     try:
         await cell.open()
-        callers = Callers(cell, promises, seed, settings["rate"], settings["cancel-early"])
+        callers = Callers(cell, promises, seed, settings["rate"], settings["cancel-early"], settings["long"])
         faulty = Faults(cell, promises, callers, seed)
         promises.trouble(30.0)
         await until_ready(cell)
--- a/test/cell/vms.py
+++ b/test/cell/vms.py
@@ -114,11 +114,12 @@
                 vm.end(member, "broken")
         self.runs = {}
 
-    def come_back(self):
+    def come_back(self, reports=True):
         self.boot()
         self.up = True
         self.draining = False
-        self.report()
+        if reports:
+            self.report()
 
     def report(self):
         self.sequence += 1
@@ -175,7 +176,7 @@
         body = request.json()
         token = body.get("fencing_token", 0)
         if token < self.fence:
-            return 409, {"clock_ms": self.clock(), "reason": "fence", "born": self.born}
+            return 409, {"clock_ms": self.clock(), "reason": "fence"}
         self.fence = token
         if request.path == "/run-start":
             self.start_came = getattr(request, "came", time.monotonic())
@@ -185,7 +186,7 @@
         return await self.hold(body)
 
     def refuse(self, reason):
-        return 409, {"clock_ms": self.clock(), "reason": reason, "born": self.born}
+        return 409, {"clock_ms": self.clock(), "reason": reason}
 
     def start(self, body):
         task, number = body["task"], body["run"]
@@ -194,7 +195,7 @@
         self.extend(body["deadline_ms"])
         running = self.runs.get(task)
         if running and running.number == number:
-            return 200, {"clock_ms": self.clock(), "born": self.born}
+            return 200, {"clock_ms": self.clock()}
         if number <= self.forbidden.get(task, 0) or running:
             return self.refuse("old")
         step = json.loads(body["spec"])["steps"][int(task.split(".")[2])]
@@ -206,7 +207,7 @@
             self.gangs.join(self, run)
         else:
             run.began = run.arrived
-        return 200, {"clock_ms": self.clock(), "born": self.born}
+        return 200, {"clock_ms": self.clock()}
 
     def extend(self, deadline):
         self.lease = max(self.lease, min(deadline, self.clock() + MAX_HOLD_S * 1000))
@@ -218,7 +219,7 @@
         if run and run.number <= number and not run.stopping:
             run.stopping = True
             asyncio.get_running_loop().call_later(STOP_GRACE_S, self.finish, run, "stopped")
-        return 200, {"clock_ms": self.clock(), "born": self.born}
+        return 200, {"clock_ms": self.clock()}
 
     async def hold(self, body):
         born = self.born
