A run that a restarted VM may have taken waits for the VM's longest lease

A task ran on two VMs at once, or was run again after its end, which was acknowledged later. VMs had started again under their ids and were cut off soon after.

Cause: deadlines refer to the clock of one incarnation, and commands name the VM, not its incarnation. An owner that has not heard of a restart sends starts and heartbeats with deadlines far ahead of the new clock. The VM takes them and grants its longest lease (10 s there), counted from the command. CellDesk reckoned with the lease that it meant (8 s), and gave the run up 8.54 s after the last command where the lease lasts 10.2 s. Class of fault: a message for one incarnation is executed by another, and the sender counts on what it meant instead of what the receiver may do.

Ruled out: slow clocks, late commands, lists without the run, a change of owner (one token).

Change: - LeaseBounds keeps two bounds: for the incarnation that is known, and for any later one, by the longest lease and the time that a command may be under way. The first holds for a run that the known incarnation has confirmed, by listing it or by a response to the start whose clock only it can have; all other runs wait for the second. A new incarnation inherits the second bound. - A response whose clock is behind ends the knowledge of the incarnation at once: no starts, no leases, before a heartbeat has shown it. - A successor waits by the same bound for the leases of its predecessor, which may have sent such a command last.

The runs of a VM that is lost for good wait as long as before, if they were confirmed.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -19,8 +19,8 @@
 
 /// Settings that bound the scheduler's decisions; read from the daemon's configuration.
 struct CellLimits {
-    /// Lease that a heartbeat or a start command grants to the runs on a VM.
-    Milliseconds vmLease { 8000 };
+    /// Leases of the runs on a VM.
+    LeaseLimits leases;
     /// How long a job is kept after it has ended.
     Seconds jobRetention { 120 };
     /// How long before its due time an occurrence may be created.
@@ -276,12 +276,19 @@
     // Leases.cpp
     /// Deadline of a new lease on the VM's clock; zero if the clock is unknown.
     std::int64_t leaseDeadlineMs(const Vm& vm, Now now) const;
-    /// Extends the bound of the VM's leases for a command that is sent now.
-    void extendLeaseEnd(Vm& vm, Now now) const;
+    /// Accounts for a command that grants a lease and is sent now.
+    void grantLease(Vm& vm, Now now) const;
+    /// Grants the VM no lease and starts no runs there before a heartbeat has shown its incarnation.
+    static void doubtIncarnation(Vm& vm, Now now);
+    /// Returns true if only the incarnation that has confirmed the run may have it.
+    static bool isConfirmed(const Placement& placement);
+    /// Returns when the run has ended for certain, if the VM does not respond until then.
+    static TimePoint leaseEnd(const Vm& vm, const Placement& placement);
     /// Returns which incarnation the VM's clock in a response belongs to.
     static ClockOrigin originOf(const Vm& vm, std::int64_t clockMs, TimePoint sentAt, Now now);
     /// Compares the clock in the response to a start command with the clock of the known incarnation.
-    void checkClock(Vm& vm, const StartResponse& response, Now now);
+    /// `placement` is that of the run, null if there is none any more.
+    void checkClock(Vm& vm, Placement* placement, const StartResponse& response, Now now);
 
     // Vms.cpp
     void sendHeartbeats(Now now);
--- a/include/heatherchute/CellState.h
+++ b/include/heatherchute/CellState.h
@@ -1,6 +1,7 @@
 /// State that the scheduler of a cell keeps of its jobs, their runs, and the VMs.
 #pragma once
 
+#include "heatherchute/LeaseBounds.h"
 #include "heatherchute/Work.h"
 
 #include <map>
@@ -162,8 +163,7 @@
     TimePoint clockRequestedAt;
     /// When the latest command that grants a lease was sent.
     TimePoint lastGrantAt;
-    /// Time by which every lease that the VM may hold has expired.
-    TimePoint leaseEnd;
+    LeaseBounds leases;
     std::uint64_t lastProcessedEnd = 0;
     std::uint64_t lastAcknowledgedEnd = 0;
     bool heartbeatInFlight = false;
--- a/lib/Cell/Leases.cpp
+++ b/lib/Cell/Leases.cpp
@@ -2,25 +2,78 @@
 
 namespace heatherchute::cell {
 
+/// A VM's clock may be 2% slow.
+static Milliseconds onSlowClock(Milliseconds lease)
+{
+    constexpr std::int64_t slowClockPercent = 103;
+    return lease * slowClockPercent / 100;
+}
+
+/// Time by which a lease that a VM grants now has expired. The VM's clock is ahead of its last known reading by
+/// the one-way network latency.
+static TimePoint expiryOf(Milliseconds lease, TimePoint now)
+{
+    constexpr Milliseconds clockSlack { 300 };
+    return now + onSlowClock(lease) + clockSlack;
+}
+
+Milliseconds inheritedLease(const LeaseLimits& limits)
+{
+    constexpr Milliseconds clockSlack { 400 };
+    return limits.delivery + onSlowClock(limits.longestLease) + clockSlack;
+}
+
+void LeaseBounds::inherit(TimePoint end)
+{
+    m_knownIncarnation = std::max(m_knownIncarnation, end);
+}
+
+void LeaseBounds::onGrant(const LeaseLimits& limits, TimePoint now)
+{
+    m_knownIncarnation = std::max(m_knownIncarnation, expiryOf(limits.lease, now));
+    m_laterIncarnation = std::max(m_laterIncarnation, expiryOf(limits.longestLease, now + limits.delivery));
+}
+
+void LeaseBounds::onFirstResponse(const LeaseLimits& limits, TimePoint now)
+{
+    m_knownIncarnation = std::max(m_knownIncarnation, expiryOf(limits.longestLease, now));
+}
+
+void LeaseBounds::onNewIncarnation()
+{
+    m_knownIncarnation = endOfAnyIncarnation();
+}
+
 std::int64_t CellDesk::leaseDeadlineMs(const Vm& vm, Now now) const
 {
     if (vm.clockMs == 0)
         return 0;
     const auto sinceClock = std::chrono::duration_cast<Milliseconds>(now.steady - vm.clockAt);
-    return vm.clockMs + (sinceClock + m_limits.vmLease).count();
+    return vm.clockMs + (sinceClock + m_limits.leases.lease).count();
 }
 
-void CellDesk::extendLeaseEnd(Vm& vm, Now now) const
+void CellDesk::grantLease(Vm& vm, Now now) const
 {
-    /// A VM's clock may be 2% slow, and is ahead of its last known reading by the one-way network
-    /// latency.
-    constexpr double slowestClock = 1.03;
-    constexpr Milliseconds clockSlack { 300 };
-    const auto longest = std::chrono::duration_cast<Duration>(m_limits.vmLease * slowestClock) + clockSlack;
-    vm.leaseEnd = std::max(vm.leaseEnd, now.steady + longest);
+    vm.leases.onGrant(m_limits.leases, now.steady);
     vm.lastGrantAt = now.steady;
 }
 
+void CellDesk::doubtIncarnation(Vm& vm, Now now)
+{
+    vm.isIncarnationKnown = false;
+    vm.nextHeartbeatAt = now.steady;
+}
+
+bool CellDesk::isConfirmed(const Placement& placement)
+{
+    return placement.isIncarnationConfirmed && !placement.startUnconfirmed;
+}
+
+TimePoint CellDesk::leaseEnd(const Vm& vm, const Placement& placement)
+{
+    return isConfirmed(placement) ? vm.leases.endOfKnownIncarnation() : vm.leases.endOfAnyIncarnation();
+}
+
 CellDesk::ClockOrigin CellDesk::originOf(const Vm& vm, std::int64_t clockMs, TimePoint sentAt, Now now)
 {
     constexpr double slowestClock = 0.97;
@@ -36,11 +89,22 @@
     return isBeforeHeartbeat ? ClockOrigin::KnownIncarnation : ClockOrigin::Unknown;
 }
 
-void CellDesk::checkClock(Vm& vm, const StartResponse& response, Now now)
+void CellDesk::checkClock(Vm& vm, Placement* placement, const StartResponse& response, Now now)
 {
-    if (originOf(vm, response.clockMs, response.sentAt, now) != ClockOrigin::LaterIncarnation)
+    switch (originOf(vm, response.clockMs, response.sentAt, now)) {
+    case ClockOrigin::KnownIncarnation:
+        if (placement && response.answer == StartAnswer::Started && vm.isIncarnationKnown) {
+            placement->incarnation = vm.incarnation;
+            placement->isIncarnationConfirmed = true;
+        }
+        return;
+    case ClockOrigin::LaterIncarnation:
+        doubtIncarnation(vm, now);
+        m_actions.emplace_back(Decision { "vm_clock_behind", { { "vm", vm.report.id }, { "incarnation", vm.incarnation }, { "clock_ms", response.clockMs }, { "known_clock_ms", vm.clockMs }, { "known_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.clockAt).count() }, { "task", taskText(response.task) }, { "run", response.run }, { "answer", startAnswerName(response.answer) } } });
+        return;
+    case ClockOrigin::Unknown:
         return;
-    m_actions.emplace_back(Decision { "vm_clock_behind", { { "vm", vm.report.id }, { "incarnation", vm.incarnation }, { "clock_ms", response.clockMs }, { "known_clock_ms", vm.clockMs }, { "known_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.clockAt).count() }, { "task", taskText(response.task) }, { "run", response.run }, { "answer", startAnswerName(response.answer) } } });
+    }
 }
 
 } // namespace heatherchute::cell
--- a/lib/Cell/Runs.cpp
+++ b/lib/Cell/Runs.cpp
@@ -183,14 +183,17 @@
     /// How long a start command is retried at its VM before the run is abandoned there.
     constexpr Milliseconds startRetryWindow { 1200 };
     constexpr Milliseconds startRetry { 120 };
-    if (const auto vm = m_vms.find(response.vm); vm != m_vms.end())
-        checkClock(vm->second, response, now);
+    const auto knownVm = m_vms.find(response.vm);
+    if (knownVm == m_vms.end())
+        return;
+    auto& vm = knownVm->second;
     const auto& task = response.task;
     const auto found = m_placements.find(task);
-    if (found == m_placements.end() || found->second.run != response.run || found->second.vm != response.vm)
+    const bool isCurrent = found != m_placements.end() && found->second.run == response.run && found->second.vm == response.vm;
+    checkClock(vm, isCurrent ? &found->second : nullptr, response, now);
+    if (!isCurrent)
         return;
     auto& placement = found->second;
-    auto& vm = m_vms.at(response.vm);
     placement.commandInFlight = false;
     if (response.answer != StartAnswer::Started)
         m_actions.emplace_back(Decision { "start_not_taken", { { "task", taskText(task) }, { "run", response.run }, { "vm", response.vm }, { "answer", startAnswerName(response.answer) } } });
--- a/lib/Cell/State.cpp
+++ b/lib/Cell/State.cpp
@@ -300,8 +300,7 @@
     for (auto& placement : placed) {
         auto& vm = m_vms[placement.vm];
         vm.report.id = placement.vm;
-        if (vm.leaseEnd < m_inheritedLeaseEnd)
-            vm.leaseEnd = m_inheritedLeaseEnd;
+        vm.leases.inherit(m_inheritedLeaseEnd);
         const auto* const queue = lastKnownQueue(job.queue);
         placement.priority = queue ? queue->priority : 1;
         adjustUsage(placement, vm, 1);
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -44,12 +44,10 @@
         vm.idHash = stableHash(report.id);
         vm.listed = true;
         if (isNewIncarnation) {
-            vm.nextHeartbeatAt = now.steady;
             vm.missedHeartbeats = 0;
-            vm.isIncarnationKnown = false;
+            doubtIncarnation(vm, now);
         }
-        if (vm.leaseEnd < m_inheritedLeaseEnd)
-            vm.leaseEnd = m_inheritedLeaseEnd;
+        vm.leases.inherit(m_inheritedLeaseEnd);
     }
     m_capacityCpuMilli = 0;
     for (const auto& [id, vm] : m_vms)
@@ -73,11 +71,9 @@
         // A new incarnation of the VM restarts the numbering of its ended runs, and must not discard
         // any because an old number was acknowledged.
         BeatVm heartbeat { id, vm.report.address, 0, vm.isIncarnationKnown ? vm.lastAcknowledgedEnd : 0, Milliseconds(0) };
-        // Deadlines refer to the clock of one incarnation. A later one restarts its clock, so that the
-        // same deadline would grant a lease far longer than leaseEnd accounts for.
         if (m_isOwnershipConfirmed && vm.fenced && vm.isIncarnationKnown) {
             heartbeat.deadlineMs = leaseDeadlineMs(vm, now);
-            extendLeaseEnd(vm, now);
+            grantLease(vm, now);
         }
         if (vm.isIncarnationKnown && vm.missedHeartbeats == 0 && vm.lastProcessedEnd == vm.lastAcknowledgedEnd && vm.clockMs > 0)
             heartbeat.wait = hasUnconfirmedRun(vm) ? heartbeatWaitUnconfirmed : heartbeatWait;
@@ -158,12 +154,17 @@
     const auto& state = *response.state;
     if (vm.incarnation != state.incarnation) {
         // A new incarnation restarts its numbering, its clock and its fencing token.
-        if (vm.incarnation != 0)
+        if (vm.incarnation == 0)
+            vm.leases.onFirstResponse(m_limits.leases, now.steady);
+        else
             m_actions.emplace_back(Decision { "vm_reborn", { { "vm", response.vm }, { "before", vm.incarnation }, { "now", state.incarnation }, { "placements", vm.placements.size() }, { "lease_granted_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.lastGrantAt).count() }, { "acknowledged", vm.lastAcknowledgedEnd } } });
         vm.incarnation = state.incarnation;
         vm.lastProcessedEnd = 0;
         vm.lastAcknowledgedEnd = 0;
         vm.consecutiveFailures = 0;
+        vm.leases.onNewIncarnation();
+        for (const auto& task : vm.placements)
+            m_placements.at(task).isIncarnationConfirmed = false;
     }
     vm.fenced = true;
     vm.missedHeartbeats = 0;
@@ -197,19 +198,19 @@
     std::vector<TaskId> expired;
     for (const auto& [id, vm] : m_vms) {
         const bool isUnresponsive = !vm.fenced || vm.missedHeartbeats >= missedHeartbeatsUntilUnresponsive || vm.report.address.port == 0;
-        if (!isUnresponsive || now.steady < vm.leaseEnd)
+        if (!isUnresponsive)
             continue;
         const auto expiredBefore = expired.size();
         std::size_t unconfirmed = 0;
         for (const auto& task : vm.placements) {
             const auto& placement = m_placements.at(task);
-            if (!placement.isDurable || placement.commandInFlight)
+            if (!placement.isDurable || placement.commandInFlight || now.steady < leaseEnd(vm, placement))
                 continue;
             expired.push_back(task);
-            unconfirmed += placement.isIncarnationConfirmed && !placement.startUnconfirmed ? 0 : 1;
+            unconfirmed += isConfirmed(placement) ? 0 : 1;
         }
         if (expired.size() > expiredBefore)
-            m_actions.emplace_back(Decision { "vm_leases_over", { { "vm", id }, { "runs", expired.size() - expiredBefore }, { "unconfirmed", unconfirmed }, { "incarnation", vm.incarnation }, { "lease_granted_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.lastGrantAt).count() }, { "inherited", vm.leaseEnd == m_inheritedLeaseEnd }, { "fenced", vm.fenced }, { "listed", vm.listed } } });
+            m_actions.emplace_back(Decision { "vm_leases_over", { { "vm", id }, { "runs", expired.size() - expiredBefore }, { "unconfirmed", unconfirmed }, { "incarnation", vm.incarnation }, { "lease_granted_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.lastGrantAt).count() }, { "inherited", vm.leases.endOfKnownIncarnation() == m_inheritedLeaseEnd }, { "fenced", vm.fenced }, { "listed", vm.listed } } });
     }
     for (const auto& task : expired)
         markRunLost(task, "lease_over", now);
@@ -222,7 +223,7 @@
     placement.commandInFlight = true;
     if (placement.firstCommandAt == TimePoint())
         placement.firstCommandAt = now.steady;
-    extendLeaseEnd(vm, now);
+    grantLease(vm, now);
     m_actions.emplace_back(StartRun { vm.report.id, vm.report.address, placement.task, placement.run, ownerJob->spec, leaseDeadlineMs(vm, now), task.checkpoint, placement.ticket });
 }
 
--- a/lib/Node/Core.cpp
+++ b/lib/Node/Core.cpp
@@ -1,4 +1,5 @@
 #include "Core.h"
+#include "DelegatedCommands.h"
 
 namespace heatherchute {
 
@@ -11,20 +12,12 @@
     return std::max(cell::ElectionSettings().lease, settings.shortestStoreLease);
 }
 
-Milliseconds vmLease(const NodeSettings& settings)
+cell::LeaseLimits leaseLimits(const NodeSettings& settings)
 {
     /// A VM loses its runs when it is unreachable for longer than its lease, and the runs of a VM
     /// that has crashed wait for the lease to expire before they restart. This value limits the wait.
     constexpr Milliseconds longestUsefulLease { 8000 };
-    return std::min(longestUsefulLease, settings.longestVmLease);
-}
-
-Milliseconds inheritedLease(const NodeSettings& settings)
-{
-    /// A VM's clock may run 2% slow, and the owner's estimate of it may lag by the network delay.
-    constexpr std::int64_t slowClockPercent = 103;
-    constexpr Milliseconds clockSlack { 400 };
-    return vmLease(settings) * slowClockPercent / 100 + clockSlack;
+    return { std::min(longestUsefulLease, settings.longestVmLease), settings.longestVmLease, maxCommandAge + platform::orderTimeout };
 }
 
 void NodeCore::logStatistics()
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -14,9 +14,7 @@
 /// Duration of the store lease that holds the owner's record.
 Milliseconds electionLease(const NodeSettings& settings);
 /// Duration of the leases that the owner grants to VMs.
-Milliseconds vmLease(const NodeSettings& settings);
-/// Time within which a VM lease has expired that an earlier owner grants at its beginning.
-Milliseconds inheritedLease(const NodeSettings& settings);
+cell::LeaseLimits leaseLimits(const NodeSettings& settings);
 
 /// The other components of the daemon.
 struct NodeComponents {
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -326,10 +326,10 @@
                 m_stateLog = std::move(log);
                 m_headRevision = headRevision;
                 cell::CellLimits limits;
-                limits.vmLease = vmLease(m_settings);
+                limits.leases = leaseLimits(m_settings);
                 limits.jobRetention = m_settings.jobRetention + Seconds(10);
                 limits.spreadFactor = m_settings.spreadFactor;
-                const auto inheritedLeaseEnd = m_election.predecessorsEnd() + inheritedLease(m_settings);
+                const auto inheritedLeaseEnd = m_election.predecessorsEnd() + cell::inheritedLease(limits.leases);
                 m_scheduler = std::make_unique<cell::CellDesk>(limits, inheritedLeaseEnd);
                 if (m_policy)
                     m_scheduler->setPolicy(m_policy);
