--- a/include/heatherchute/Http.h
+++ b/include/heatherchute/Http.h
@@ -113,6 +113,8 @@
     /// For the whole request, from waiting for a free slot to the end of the response.
     Milliseconds timeout { 5000 };
     std::size_t maxBodyBytes = 4U << 20;
+    /// For the free slot and the connection; the request is not sent after it. Zero is the whole timeout.
+    Milliseconds sendTimeout { 0 };
 };
 
 /// Limits of a client.
--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -165,8 +165,9 @@
 Result<HttpResponse> HttpClient::call(const Address& address, const HttpRequest& request, const HttpCallOptions& options)
 {
     const auto deadline = Clock::now() + options.timeout;
+    const auto sendDeadline = options.sendTimeout.count() > 0 ? std::min(deadline, Clock::now() + options.sendTimeout) : deadline;
     while (m_state->activeRequests[address] >= m_state->limits.maxRequestsPerAddress) {
-        if (Clock::now() >= deadline)
+        if (Clock::now() >= sendDeadline)
             return ErrorKind::NoEndpoint;
         constexpr Milliseconds slotPollInterval { 2 };
         sleepFiber(m_state->eventLoop.io(), slotPollInterval);
@@ -174,9 +175,9 @@
     const ActiveRequestGuard guard(m_state->activeRequests, address);
     auto connection = m_state->popIdleConnection(address);
     if (!connection)
-        connection = m_state->connect(address, deadline - Clock::now());
+        connection = m_state->connect(address, sendDeadline - Clock::now());
     // The process may have been paused while it waited for a slot or for the connection.
-    if (!connection || Clock::now() >= deadline)
+    if (!connection || Clock::now() >= sendDeadline)
         return ErrorKind::NoEndpoint;
 
     auto& stream = connection->stream;
--- a/unittests/Http/HttpTest.cpp
+++ b/unittests/Http/HttpTest.cpp
@@ -124,6 +124,31 @@
     CHECK(result.value().status == 413);
 }
 
+TEST_CASE("a request that cannot be sent in time is not sent later", "[http]")
+{
+    std::atomic<int> received = 0;
+    std::function<void()> hold;
+    ClientServerPair pair([&](HttpRequest&&) {
+        ++received;
+        hold();
+        return HttpResponse { 200, {}, {}, {} };
+    });
+    hold = [&pair] { sleepFiber(pair.serverLoop.io(), Milliseconds(600)); };
+    pair.client = std::make_unique<HttpClient>(pair.clientLoop, HttpClientLimits { .maxRequestsPerAddress = 1 });
+    Result<HttpResponse> first = ErrorKind::Internal;
+    Result<HttpResponse> second = ErrorKind::Internal;
+    pair.run([&] {
+        const Address server { "127.0.0.1", pair.server.port() };
+        auto running = boost::fibers::async([&] { first = pair.client->call(server, {}, {}); });
+        sleepFiber(pair.clientLoop.io(), Milliseconds(50));
+        second = pair.client->call(server, {}, { .sendTimeout = Milliseconds(100) });
+        running.get();
+    });
+    CHECK(first);
+    CHECK(errorKind(second.error()) == ErrorKind::NoEndpoint);
+    CHECK(received == 1);
+}
+
 TEST_CASE("a missing response gives OutcomeUnknown, and a refused connection gives NoEndpoint", "[http]")
 {
     ClientServerPair pair([](HttpRequest&& request) {
