A start without a response is forbidden to a restarted VM before its task runs elsewhere

An incarnation of a VM that has never had a run does not refuse a start of it that is executed late: it knows no stop and no end, and the deadline is on an older clock. A run whose first start got no response, and that a repeated start had confirmed, was given up as soon as the next incarnation did not list it; nothing was done for runs that had ended. Now such a run is stopped at the new incarnation first, and starts without a response of the last 12 s whose runs are over are stopped there too. The stop may still come too late for a start that the new incarnation has executed. A VM that leaves the registry is kept until its leases are over, as it may return.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -294,6 +294,15 @@
     void sendHeartbeats(Now now);
     /// Returns true if it is unknown, for lack of a response, whether the VM still has some run.
     bool hasUnconfirmedRun(const Vm& vm) const;
+    void requestStop(Placement& placement, Now now);
+    /// Handles the first response of another incarnation of the VM.
+    void onNewIncarnation(Vm& vm, const VmState& state, Now now);
+    /// Remembers the start of a run that is given up, as the VM may still execute it.
+    static void rememberUnansweredStart(Vm& vm, const Placement& placement);
+    /// Stops the runs of earlier start commands that a new incarnation of the VM may still execute.
+    void stopUnansweredStarts(Vm& vm, Now now);
+    /// The VM of the run has started anew: what an earlier incarnation confirmed says nothing about it.
+    void forgetIncarnation(Placement& placement);
     void markAbsentRunsLost(Vm& vm, const BeatAnswer& response, Now now);
     void reconcileListedRun(Vm& vm, const RunningTask& running, Now now);
     void expireUnresponsiveVms(Now now);
--- a/include/heatherchute/CellState.h
+++ b/include/heatherchute/CellState.h
@@ -131,6 +131,7 @@
     /// Number of stop commands in a row that the VM refused.
     unsigned refusedStops = 0;
     TimePoint firstCommandAt;
+    TimePoint lastStartAt;
     TimePoint nextCommandAt;
     /// Latest response to a command for the run. Only a heartbeat sent later shows whether the VM
     /// still has the run.
@@ -139,6 +140,13 @@
     bool abandoned = false;
 };
 
+/// A start command without a response for a run that has ended, or that its VM has been told to stop.
+struct UnansweredStart {
+    TaskId task;
+    std::uint32_t run = 0;
+    TimePoint sentAt;
+};
+
 struct Vm {
     VmReport report;
     /// Stable hash of the VM's id.
@@ -150,6 +158,7 @@
     /// pass.
     Room ticketReserved;
     std::set<TaskId> placements;
+    std::vector<UnansweredStart> unansweredStarts;
     /// The VM has responded in this ownership term, so it rejects lower fencing tokens.
     bool fenced = false;
     /// The latest heartbeat got a response, so the incarnation that numbered the listed ends is known.
--- a/lib/Cell/Runs.cpp
+++ b/lib/Cell/Runs.cpp
@@ -29,7 +29,10 @@
     if (found == m_placements.end())
         return;
     const auto& placement = found->second;
-    adjustUsage(placement, m_vms.at(placement.vm), -1);
+    auto& vm = m_vms.at(placement.vm);
+    adjustUsage(placement, vm, -1);
+    if (placement.startUnconfirmed)
+        rememberUnansweredStart(vm, placement);
     if (auto* const ownerJob = job(task.job))
         --ownerJob->placements;
     m_pendingCommands.erase(task);
@@ -163,19 +166,14 @@
         const auto other = m_placements.find({ job.id, member.occurrence, member.step, i });
         if (other == m_placements.end() || i == member.index)
             continue;
-        other->second.stopRequested = true;
-        other->second.nextCommandAt = now.steady;
-        m_pendingCommands.insert(other->first);
+        requestStop(other->second, now);
     }
 }
 
 void CellDesk::stopAll(Job& job, Now now)
 {
-    for (auto it = m_placements.lower_bound({ job.id, 0, 0, 0 }); it != m_placements.end() && it->first.job == job.id; ++it) {
-        it->second.stopRequested = true;
-        it->second.nextCommandAt = now.steady;
-        m_pendingCommands.insert(it->first);
-    }
+    for (auto it = m_placements.lower_bound({ job.id, 0, 0, 0 }); it != m_placements.end() && it->first.job == job.id; ++it)
+        requestStop(it->second, now);
 }
 
 void CellDesk::onStart(const StartResponse& response, Now now)
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -17,6 +17,8 @@
 static constexpr Milliseconds heartbeatIntervalWhileCommitting { 500 };
 /// Consecutive missed heartbeats after which the runs of a VM count as lost once its leases expire.
 static constexpr unsigned missedHeartbeatsUntilUnresponsive = 2;
+/// Time within which a VM may execute a command that it has left without a response.
+static constexpr Milliseconds longestCommandDelay { 12'000 };
 
 bool CellDesk::isUsable(const Vm& vm, Now now) const
 {
@@ -52,7 +54,10 @@
     m_capacityCpuMilli = 0;
     for (const auto& [id, vm] : m_vms)
         m_capacityCpuMilli += vm.listed ? vm.report.capacity.cpuMilli : 0;
-    std::erase_if(m_vms, [](const auto& entry) { return !entry.second.listed && entry.second.placements.empty() && !entry.second.heartbeatInFlight; });
+    std::erase_if(m_vms, [now](const auto& entry) {
+        const auto& vm = entry.second;
+        return !vm.listed && vm.placements.empty() && !vm.heartbeatInFlight && now.steady >= vm.leases.endOfAnyIncarnation();
+    });
 }
 
 bool CellDesk::hasUnconfirmedRun(const Vm& vm) const
@@ -112,6 +117,52 @@
         task.checkpoint = running.checkpoint;
 }
 
+void CellDesk::requestStop(Placement& placement, Now now)
+{
+    placement.stopRequested = true;
+    placement.nextCommandAt = now.steady;
+    m_pendingCommands.insert(placement.task);
+}
+
+void CellDesk::forgetIncarnation(Placement& placement)
+{
+    placement.isIncarnationConfirmed = false;
+    placement.stopAcknowledged = false;
+    if (placement.stopRequested)
+        m_pendingCommands.insert(placement.task);
+}
+
+void CellDesk::rememberUnansweredStart(Vm& vm, const Placement& placement)
+{
+    std::erase_if(vm.unansweredStarts, [&](const UnansweredStart& start) { return placement.lastStartAt - start.sentAt > longestCommandDelay; });
+    vm.unansweredStarts.push_back({ placement.task, placement.run, placement.lastStartAt });
+}
+
+void CellDesk::stopUnansweredStarts(Vm& vm, Now now)
+{
+    for (const auto& start : std::exchange(vm.unansweredStarts, {})) {
+        if (now.steady - start.sentAt < longestCommandDelay)
+            m_actions.emplace_back(StopRun { vm.report.id, vm.report.address, start.task, start.run });
+    }
+}
+
+void CellDesk::onNewIncarnation(Vm& vm, const VmState& state, Now now)
+{
+    // A new incarnation restarts its numbering, its clock and its fencing token.
+    if (vm.incarnation == 0)
+        vm.leases.onFirstResponse(m_limits.leases, now.steady);
+    else
+        m_actions.emplace_back(Decision { "vm_reborn", { { "vm", vm.report.id }, { "before", vm.incarnation }, { "now", state.incarnation }, { "placements", vm.placements.size() }, { "lease_granted_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.lastGrantAt).count() }, { "acknowledged", vm.lastAcknowledgedEnd } } });
+    vm.incarnation = state.incarnation;
+    vm.lastProcessedEnd = 0;
+    vm.lastAcknowledgedEnd = 0;
+    vm.consecutiveFailures = 0;
+    vm.leases.onNewIncarnation();
+    for (const auto& task : vm.placements)
+        forgetIncarnation(m_placements.at(task));
+    stopUnansweredStarts(vm, now);
+}
+
 void CellDesk::markAbsentRunsLost(Vm& vm, const BeatAnswer& response, Now now)
 {
     // A run that is absent may be among the ends that are not listed yet.
@@ -122,9 +173,14 @@
         listed.emplace(running.task, running.run);
     std::vector<TaskId> absent;
     for (const auto& task : vm.placements) {
-        const auto& placement = m_placements.at(task);
+        auto& placement = m_placements.at(task);
         const bool isSettled = placement.isDurable && !placement.commandInFlight && placement.lastResponseAt < response.sentAt && (placement.started || placement.stopAcknowledged);
-        if (isSettled && !listed.contains({ task, placement.run }))
+        if (!isSettled || listed.contains({ task, placement.run }))
+            continue;
+        // An incarnation that has not had the run does not refuse a start that is executed late.
+        if (placement.startUnconfirmed && !placement.isIncarnationConfirmed && !placement.stopAcknowledged)
+            requestStop(placement, now);
+        else
             absent.push_back(task);
     }
     for (const auto& task : absent)
@@ -152,20 +208,8 @@
     if (vm.missedHeartbeats >= missedHeartbeatsUntilUnresponsive)
         m_actions.emplace_back(Decision { "vm_answers_again", { { "vm", response.vm } } });
     const auto& state = *response.state;
-    if (vm.incarnation != state.incarnation) {
-        // A new incarnation restarts its numbering, its clock and its fencing token.
-        if (vm.incarnation == 0)
-            vm.leases.onFirstResponse(m_limits.leases, now.steady);
-        else
-            m_actions.emplace_back(Decision { "vm_reborn", { { "vm", response.vm }, { "before", vm.incarnation }, { "now", state.incarnation }, { "placements", vm.placements.size() }, { "lease_granted_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.lastGrantAt).count() }, { "acknowledged", vm.lastAcknowledgedEnd } } });
-        vm.incarnation = state.incarnation;
-        vm.lastProcessedEnd = 0;
-        vm.lastAcknowledgedEnd = 0;
-        vm.consecutiveFailures = 0;
-        vm.leases.onNewIncarnation();
-        for (const auto& task : vm.placements)
-            m_placements.at(task).isIncarnationConfirmed = false;
-    }
+    if (vm.incarnation != state.incarnation)
+        onNewIncarnation(vm, state, now);
     vm.fenced = true;
     vm.missedHeartbeats = 0;
     vm.lastResponseAt = now.steady;
@@ -223,6 +267,7 @@
     placement.commandInFlight = true;
     if (placement.firstCommandAt == TimePoint())
         placement.firstCommandAt = now.steady;
+    placement.lastStartAt = now.steady;
     grantLease(vm, now);
     m_actions.emplace_back(StartRun { vm.report.id, vm.report.address, placement.task, placement.run, ownerJob->spec, leaseDeadlineMs(vm, now), task.checkpoint, placement.ticket });
 }
--- a/unittests/Cell/LeaseTest.cpp
+++ b/unittests/Cell/LeaseTest.cpp
@@ -98,3 +98,35 @@
     cell.run(Milliseconds(400));
     CHECK(cell.starts.size() == 2);
 }
+
+TEST_CASE("A start without a response is forbidden to a restarted VM before its task runs elsewhere")
+{
+    TestCell cell(makePolicy(1, { makeQueue("queue", 2) }));
+    cell.submit(jobId, "queue", "team", makeJob(1));
+    cell.run(Milliseconds(200));
+    REQUIRE(cell.starts.size() == 1);
+    const auto first = cell.starts[0];
+    cell.answerStart(first, StartAnswer::Unknown);
+    cell.run(Milliseconds(200));
+    REQUIRE(cell.starts.size() == 2);
+    cell.answerStart(first, StartAnswer::Started);
+    cell.running = { { first.task, first.run, {}, 0 } };
+    cell.run(Milliseconds(200));
+    const bool isDone = GENERATE(false, true);
+    if (isDone) {
+        cell.running.clear();
+        cell.endRun(first, RunEnd::Done);
+        cell.run(Milliseconds(200));
+        REQUIRE(cell.phase(jobId) == "completed");
+    }
+    CHECK(cell.stops.empty());
+    cell.restartVm();
+    cell.registerVms(2);
+    cell.run(Milliseconds(200));
+    REQUIRE(cell.stops.size() == 1);
+    CHECK(cell.stops[0].run == first.run);
+    CHECK(cell.starts.size() == 2);
+    cell.desk->onStop(first.vm, first.task, first.run, StopAnswer::Stopped, cell.now);
+    cell.run(Milliseconds(1000));
+    CHECK(cell.starts.size() == (isDone ? 2 : 3));
+}
