A connection whose request was given up is reset

After a timeout the HTTP client closed the connection with a FIN: bytes that a cut held up were delivered when it healed, so that a VM could execute a start up to any time after its owner had given it up. Closing now resets the connection, which takes back what has not arrived. What a VM has received and holds itself stays out of reach.

--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -147,6 +147,8 @@
         return nullptr;
     boost::system::error_code ignored;
     connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    // Closing resets the connection: a request that was given up is not delivered later.
+    connection->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
     return connection;
 }
 
