A late response of an earlier incarnation does not end the doubt about the present one

When the registry or the clock in a response showed another incarnation, the response to a heartbeat sent before that counted as knowledge all the same, though the earlier incarnation may have given it. Starts, deadlines and acknowledgements for that one followed. Only a heartbeat sent after the doubt ends it, or a response of an incarnation that was not known. The test failed before: a deadline and an acknowledgement by the earlier incarnation's figures.

--- a/include/heatherchute/CellState.h
+++ b/include/heatherchute/CellState.h
@@ -163,6 +163,11 @@
     bool fenced = false;
     /// The latest heartbeat got a response, so the incarnation that numbered the listed ends is known.
     bool isIncarnationKnown = false;
+    /// When the registry or a response last showed another incarnation. The response to an earlier heartbeat
+    /// may be of the one before.
+    TimePoint doubtedAt;
+    /// The latest response to a heartbeat listed ended runs.
+    bool hasListedEnds = false;
     unsigned missedHeartbeats = 0;
     TimePoint lastResponseAt;
     /// The VM's clock at `clockAt`, in milliseconds; zero if unknown.
--- a/lib/Cell/Leases.cpp
+++ b/lib/Cell/Leases.cpp
@@ -61,6 +61,7 @@
 void CellDesk::doubtIncarnation(Vm& vm, Now now)
 {
     vm.isIncarnationKnown = false;
+    vm.doubtedAt = now.steady;
     vm.nextHeartbeatAt = now.steady;
 }
 
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -198,7 +198,7 @@
         m_actions.emplace_back(LostOwnership { response.vm });
         return;
     }
-    vm.isIncarnationKnown = response.state.has_value();
+    vm.isIncarnationKnown = response.state && (response.sentAt >= vm.doubtedAt || response.state->incarnation != vm.incarnation);
     if (!response.state) {
         if (++vm.missedHeartbeats == missedHeartbeatsUntilUnresponsive)
             m_actions.emplace_back(Decision { "vm_silent", { { "vm", response.vm }, { "placements", vm.placements.size() } } });
--- /dev/null
+++ b/unittests/Cell/IncarnationTest.cpp
@@ -0,0 +1,93 @@
+#include "TestCell.h"
+
+#include <catch2/catch.hpp>
+
+using namespace heatherchute;
+using namespace heatherchute::cell;
+
+namespace {
+
+/// A scheduler with one VM, each of whose responses a test gives by hand.
+struct ScriptedCell {
+    ScriptedCell()
+    {
+        desk.setPolicy(makePolicy(1, { makeQueue("queue", 2) }));
+        desk.load({}, now);
+        registerVm(1);
+        step(1);
+    }
+
+    void registerVm(std::int64_t incarnation)
+    {
+        VmReport report;
+        report.id = "vm-0";
+        report.service = "workers";
+        report.address = { "127.0.0.1", 1 };
+        report.capacity = { 64'000, 262'144, 0 };
+        report.incarnation = incarnation;
+        desk.setVms({ report }, now);
+    }
+
+    void step(int passes)
+    {
+        for (int i = 0; i < passes; ++i) {
+            now.steady += Milliseconds(10);
+            desk.advance(now);
+            bool isCommitted = false;
+            for (const auto& action : desk.takeActions()) {
+                if (const auto* const start = std::get_if<StartRun>(&action))
+                    starts.push_back(*start);
+                else if (const auto* const heartbeat = std::get_if<BeatVm>(&action))
+                    heartbeats.push_back(*heartbeat);
+                else if (const auto* const decision = std::get_if<Decision>(&action))
+                    events.insert(std::string(decision->event));
+                isCommitted = isCommitted || std::holds_alternative<CommitState>(action);
+            }
+            if (isCommitted)
+                desk.onCommitted(now);
+        }
+    }
+
+    void answerHeartbeat(TimePoint sentAt, std::int64_t clockMs, std::int64_t incarnation, std::vector<FinishedTask> finished = {})
+    {
+        desk.onBeat({ "vm-0", sentAt, false, VmState { clockMs, incarnation, {}, std::move(finished) } }, now);
+    }
+
+    void submitUntilStarted()
+    {
+        desk.submit(1, jobId, "queue", "team", makeJob(1), now);
+        for (int i = 0; i < 20 && starts.empty(); ++i)
+            step(1);
+        REQUIRE(starts.size() == 1);
+    }
+
+    Now now { TimePoint(Seconds(100)), 1'700'000'000'000 };
+    CellDesk desk { CellLimits(), TimePoint(Seconds(100)) };
+    std::vector<StartRun> starts;
+    std::vector<BeatVm> heartbeats;
+    std::set<std::string> events;
+};
+
+} // namespace
+
+TEST_CASE("A late response of an earlier incarnation does not end the doubt about the present one")
+{
+    ScriptedCell cell;
+    cell.answerHeartbeat(cell.now.steady, 50'000, 1);
+    cell.step(5);
+    REQUIRE(cell.heartbeats.size() == 2);
+    const auto sentAt = cell.now.steady;
+    cell.now.steady += Milliseconds(900);
+    cell.registerVm(2);
+    cell.step(1);
+    cell.answerHeartbeat(sentAt, 50'300, 1);
+    cell.desk.submit(1, jobId, "queue", "team", makeJob(1), cell.now);
+    cell.step(20);
+    CHECK(cell.starts.empty());
+    REQUIRE(cell.heartbeats.size() == 3);
+    CHECK(cell.heartbeats[2].deadlineMs == 0);
+    CHECK(cell.heartbeats[2].acknowledged == 0);
+    cell.answerHeartbeat(cell.now.steady, 900, 2);
+    cell.step(20);
+    CHECK(cell.starts.size() == 1);
+}
