Ends are acknowledged only while their VM lists them

Each heartbeat repeated the last acknowledged number. One that reaches the next incarnation discards ends there that nobody has read: a task that is done is then taken for lost and runs again (TWICE). What remains is a heartbeat that does acknowledge ends, reaches the next incarnation, and finds unread ends there.

--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -73,9 +73,10 @@
     for (auto& [id, vm] : m_vms) {
         if (vm.heartbeatInFlight || now.steady < vm.nextHeartbeatAt || vm.report.address.port == 0)
             continue;
-        // A new incarnation of the VM restarts the numbering of its ended runs, and must not discard
-        // any because an old number was acknowledged.
-        BeatVm heartbeat { id, vm.report.address, 0, vm.isIncarnationKnown ? vm.lastAcknowledgedEnd : 0, Milliseconds(0) };
+        // A new incarnation of the VM restarts the numbering of its ended runs, and must not discard any because
+        // an old number was acknowledged. So nothing is acknowledged twice.
+        const auto acknowledged = vm.isIncarnationKnown && vm.hasListedEnds ? vm.lastAcknowledgedEnd : 0;
+        BeatVm heartbeat { id, vm.report.address, 0, acknowledged, Milliseconds(0) };
         if (m_isOwnershipConfirmed && vm.fenced && vm.isIncarnationKnown) {
             heartbeat.deadlineMs = leaseDeadlineMs(vm, now);
             grantLease(vm, now);
@@ -227,6 +228,7 @@
     for (const auto& running : state.running)
         reconcileListedRun(vm, running, now);
     markAbsentRunsLost(vm, response, now);
+    vm.hasListedEnds = !state.finished.empty();
     if (vm.lastProcessedEnd == vm.lastAcknowledgedEnd)
         return;
     vm.nextHeartbeatAt = now.steady + heartbeatIntervalWhileCommitting;
--- a/unittests/Cell/IncarnationTest.cpp
+++ b/unittests/Cell/IncarnationTest.cpp
@@ -91,3 +91,16 @@
     cell.step(20);
     CHECK(cell.starts.size() == 1);
 }
+
+TEST_CASE("Ends are acknowledged only while their VM lists them")
+{
+    ScriptedCell cell;
+    cell.answerHeartbeat(cell.now.steady, 50'000, 1, { { 57, { jobId, 0, 0, 0 }, 1, RunEnd::Done, {} } });
+    cell.step(10);
+    REQUIRE(cell.heartbeats.size() == 2);
+    CHECK(cell.heartbeats[1].acknowledged == 57);
+    cell.answerHeartbeat(cell.now.steady, 50'100, 1);
+    cell.step(5);
+    REQUIRE(cell.heartbeats.size() == 3);
+    CHECK(cell.heartbeats[2].acknowledged == 0);
+}
