The clock of a start's response is compared from both sides

A late response of an earlier incarnation, whose clock is ahead, confirmed the run for the present one; and a response that a heartbeat's overtook looked as if a later incarnation had given it.

--- a/lib/Cell/Leases.cpp
+++ b/lib/Cell/Leases.cpp
@@ -82,12 +82,15 @@
     if (clockMs == 0 || vm.clockMs == 0)
         return ClockOrigin::Unknown;
     const auto milliseconds = [](Duration duration) { return static_cast<double>(std::chrono::duration_cast<Milliseconds>(duration).count()); };
-    const auto clock = static_cast<double>(clockMs);
-    if (clock < static_cast<double>(vm.clockMs) + milliseconds(sentAt - vm.clockAt) * slowestClock - 1)
+    const auto sinceKnown = static_cast<double>(clockMs - vm.clockMs);
+    const auto shortest = milliseconds(sentAt - vm.clockAt);
+    const auto longest = milliseconds(now.steady - vm.clockRequestedAt) * fastestClock + 1;
+    // Negative if the start command was sent before the heartbeat's response arrived.
+    if (sinceKnown < shortest * (shortest < 0 ? fastestClock : slowestClock) - 1)
         return ClockOrigin::LaterIncarnation;
     // A later incarnation began, and its clock with it, after the heartbeat that the known one answered was sent.
-    const bool isBeforeHeartbeat = clock > milliseconds(now.steady - vm.clockRequestedAt) * fastestClock + 1;
-    return isBeforeHeartbeat ? ClockOrigin::KnownIncarnation : ClockOrigin::Unknown;
+    const bool isBeforeHeartbeat = static_cast<double>(clockMs) > longest;
+    return isBeforeHeartbeat && sinceKnown <= longest ? ClockOrigin::KnownIncarnation : ClockOrigin::Unknown;
 }
 
 void CellDesk::checkClock(Vm& vm, Placement* placement, const StartResponse& response, Now now)
--- a/unittests/Cell/IncarnationTest.cpp
+++ b/unittests/Cell/IncarnationTest.cpp
@@ -104,3 +104,32 @@
     REQUIRE(cell.heartbeats.size() == 3);
     CHECK(cell.heartbeats[2].acknowledged == 0);
 }
+
+TEST_CASE("A start's response that a heartbeat's has overtaken is not of a later incarnation")
+{
+    ScriptedCell cell;
+    cell.answerHeartbeat(cell.now.steady, 50'000, 1);
+    const auto readAt = cell.now.steady;
+    cell.submitUntilStarted();
+    const auto sentAt = cell.now.steady;
+    const auto clockAt = [readAt](TimePoint time) { return 50'000 + std::chrono::duration_cast<Milliseconds>(time - readAt).count(); };
+    cell.now.steady = sentAt + Milliseconds(200);
+    cell.answerHeartbeat(sentAt - Milliseconds(10), clockAt(cell.now.steady), 1);
+    cell.desk.onStart({ "vm-0", cell.starts[0].task, cell.starts[0].run, StartAnswer::Started, sentAt, clockAt(sentAt) }, cell.now);
+    cell.step(1);
+    CHECK_FALSE(cell.events.contains("vm_clock_behind"));
+}
+
+TEST_CASE("A late response of an earlier incarnation to a start does not confirm its run in the present one")
+{
+    ScriptedCell cell;
+    cell.answerHeartbeat(cell.now.steady, 50'000, 1);
+    cell.submitUntilStarted();
+    const auto sentAt = cell.now.steady;
+    cell.now.steady += Milliseconds(600);
+    cell.answerHeartbeat(cell.now.steady, 40, 2);
+    cell.now.steady += Milliseconds(20);
+    cell.desk.onStart({ "vm-0", cell.starts[0].task, cell.starts[0].run, StartAnswer::Started, sentAt, 50'200 }, cell.now);
+    REQUIRE(cell.desk.placements().size() == 1);
+    CHECK_FALSE(cell.desk.placements().begin()->second.isIncarnationConfirmed);
+}
