Confirmed runs wait no longer than their leases after a takeover or a lost response

After a takeover every VM's bound was the inherited one, up to 13.9 s, though the first response to the new owner's token ends its predecessors' commands: a VM that has responded is now bounded by its longest lease from then. And a run whose first start got no response counted as unconfirmed for good (12.4 s instead of 8.5 s after a cut); now until it is listed later than that start may be executed. The test failed before. vm_leases_over tells correctly whether the inherited bound decided; vm_reborn has the VM's clock.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -304,7 +304,8 @@
     /// The VM of the run has started anew: what an earlier incarnation confirmed says nothing about it.
     void forgetIncarnation(Placement& placement);
     void markAbsentRunsLost(Vm& vm, const BeatAnswer& response, Now now);
-    void reconcileListedRun(Vm& vm, const RunningTask& running, Now now);
+    /// `sentAt` is the time of the heartbeat whose response lists the run.
+    void reconcileListedRun(Vm& vm, const RunningTask& running, TimePoint sentAt, Now now);
     void expireUnresponsiveVms(Now now);
     void sendDueCommands(Now now);
     void sendStart(Placement& placement, Vm& vm, Now now);
--- a/include/heatherchute/LeaseBounds.h
+++ b/include/heatherchute/LeaseBounds.h
@@ -24,7 +24,7 @@
 /// so that the VM grants its longest lease, from the moment when it executes the command.
 class LeaseBounds {
 public:
-    /// An earlier owner may have granted leases that expire at `end`.
+    /// An earlier owner may have granted leases that expire at `end`, to incarnations that this owner doesn't know.
     void inherit(TimePoint end);
     /// A command that grants a lease was sent.
     void onGrant(const LeaseLimits& limits, TimePoint now);
--- a/lib/Cell/Leases.cpp
+++ b/lib/Cell/Leases.cpp
@@ -25,7 +25,7 @@
 
 void LeaseBounds::inherit(TimePoint end)
 {
-    m_knownIncarnation = std::max(m_knownIncarnation, end);
+    m_laterIncarnation = std::max(m_laterIncarnation, end);
 }
 
 void LeaseBounds::onGrant(const LeaseLimits& limits, TimePoint now)
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -88,7 +88,7 @@
     }
 }
 
-void CellDesk::reconcileListedRun(Vm& vm, const RunningTask& running, Now now)
+void CellDesk::reconcileListedRun(Vm& vm, const RunningTask& running, TimePoint sentAt, Now now)
 {
     const auto found = m_placements.find(running.task);
     auto* const ownerJob = job(running.task.job);
@@ -104,6 +104,8 @@
     placement.started = true;
     placement.incarnation = vm.incarnation;
     placement.isIncarnationConfirmed = true;
+    if (sentAt - placement.lastStartAt > longestCommandDelay)
+        placement.startUnconfirmed = false;
     if (!isFinal(ownerJob->phase))
         markRunning(*ownerJob);
     if (running.checkpoint.empty() || placement.abandoned)
@@ -150,15 +152,16 @@
 void CellDesk::onNewIncarnation(Vm& vm, const VmState& state, Now now)
 {
     // A new incarnation restarts its numbering, its clock and its fencing token.
-    if (vm.incarnation == 0)
+    if (vm.incarnation == 0) {
         vm.leases.onFirstResponse(m_limits.leases, now.steady);
-    else
-        m_actions.emplace_back(Decision { "vm_reborn", { { "vm", vm.report.id }, { "before", vm.incarnation }, { "now", state.incarnation }, { "placements", vm.placements.size() }, { "lease_granted_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.lastGrantAt).count() }, { "acknowledged", vm.lastAcknowledgedEnd } } });
+    } else {
+        vm.leases.onNewIncarnation();
+        m_actions.emplace_back(Decision { "vm_reborn", { { "vm", vm.report.id }, { "before", vm.incarnation }, { "now", state.incarnation }, { "placements", vm.placements.size() }, { "lease_granted_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.lastGrantAt).count() }, { "acknowledged", vm.lastAcknowledgedEnd }, { "clock_ms", state.clockMs } } });
+    }
     vm.incarnation = state.incarnation;
     vm.lastProcessedEnd = 0;
     vm.lastAcknowledgedEnd = 0;
     vm.consecutiveFailures = 0;
-    vm.leases.onNewIncarnation();
     for (const auto& task : vm.placements)
         forgetIncarnation(m_placements.at(task));
     stopUnansweredStarts(vm, now);
@@ -225,10 +228,10 @@
         newest = std::max(newest, finished.number);
     }
     vm.lastProcessedEnd = newest;
+    vm.hasListedEnds = !state.finished.empty();
     for (const auto& running : state.running)
-        reconcileListedRun(vm, running, now);
+        reconcileListedRun(vm, running, response.sentAt, now);
     markAbsentRunsLost(vm, response, now);
-    vm.hasListedEnds = !state.finished.empty();
     if (vm.lastProcessedEnd == vm.lastAcknowledgedEnd)
         return;
     vm.nextHeartbeatAt = now.steady + heartbeatIntervalWhileCommitting;
@@ -256,7 +259,7 @@
             unconfirmed += isConfirmed(placement) ? 0 : 1;
         }
         if (expired.size() > expiredBefore)
-            m_actions.emplace_back(Decision { "vm_leases_over", { { "vm", id }, { "runs", expired.size() - expiredBefore }, { "unconfirmed", unconfirmed }, { "incarnation", vm.incarnation }, { "lease_granted_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.lastGrantAt).count() }, { "inherited", vm.leases.endOfKnownIncarnation() == m_inheritedLeaseEnd }, { "fenced", vm.fenced }, { "listed", vm.listed } } });
+            m_actions.emplace_back(Decision { "vm_leases_over", { { "vm", id }, { "runs", expired.size() - expiredBefore }, { "unconfirmed", unconfirmed }, { "incarnation", vm.incarnation }, { "lease_granted_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.lastGrantAt).count() }, { "inherited", vm.leases.endOfAnyIncarnation() == m_inheritedLeaseEnd }, { "fenced", vm.fenced }, { "listed", vm.listed } } });
     }
     for (const auto& task : expired)
         markRunLost(task, "lease_over", now);
--- a/unittests/Cell/LeaseTest.cpp
+++ b/unittests/Cell/LeaseTest.cpp
@@ -130,3 +130,19 @@
     cell.run(Milliseconds(1000));
     CHECK(cell.starts.size() == (isDone ? 2 : 3));
 }
+
+TEST_CASE("A run that has been listed for long waits no longer because its first start got no response")
+{
+    TestCell cell(makePolicy(1, { makeQueue("queue", 2) }));
+    cell.run(Milliseconds(5000));
+    cell.submit(jobId, "queue", "team", makeJob(1));
+    cell.run(Milliseconds(100));
+    REQUIRE(cell.starts.size() == 1);
+    cell.answerStart(cell.starts[0], StartAnswer::Unknown);
+    cell.running = { { cell.starts[0].task, cell.starts[0].run, {}, 0 } };
+    cell.run(Milliseconds(13'000));
+    cell.registerVms(2);
+    cell.isVmSilent = true;
+    cell.run(Milliseconds(8800));
+    CHECK(cell.starts.size() == 2);
+}
