Soak: a ticket of the advice service is valid for one incarnation of a VM

Cause: the stand-in's tickets named the VM only and its VMs did not look at them, so that a start with a ticket of an earlier incarnation was taken. The platform's VMs refuse it (409, "ticket").

Change: a ticket names the step, the VM and its incarnation. Refusals are counted by their reason in the line of a run. No promise changes: none was found that a ticket makes stricter. The 1.5 s of a ticket's validity are not checked.

--- a/test/cell/cell.py
+++ b/test/cell/cell.py
@@ -14,7 +14,7 @@
 
 from loopback import HttpServer, Proxy
 from store import Store
-from vms import Gangs, Vm, advise
+from vms import Advice, Gangs, Vm
 
 # Bounds that the daemons' settings state, in seconds.
 GRACE_S = 6.0
@@ -111,9 +111,9 @@
         self.folder = tempfile.mkdtemp(prefix="heatherchute-cell-")
         self.store = Store(seed)
         self.store_server = HttpServer(self.store.handle)
-        self.advice_server = HttpServer(advise)
         self.gangs = Gangs()
         self.vms = {}
+        self.advice_server = HttpServer(Advice(self.vms).handle)
         self.vm_proxies = {}
         self.daemons = {}
         self.version = 0
--- a/test/cell/vms.py
+++ b/test/cell/vms.py
@@ -186,12 +186,15 @@
         return await self.hold(body)
 
     def refuse(self, reason):
+        self.record.counts["refused " + reason] += 1
         return 409, {"clock_ms": self.clock(), "reason": reason}
 
     def start(self, body):
         task, number = body["task"], body["run"]
         if body["deadline_ms"] < self.clock():
             return self.refuse("late")
+        if body.get("ticket") != ticket(task.rsplit(".", 1)[0], self):
+            return self.refuse("ticket")
         self.extend(body["deadline_ms"])
         running = self.runs.get(task)
         if running and running.number == number:
@@ -239,12 +242,22 @@
         return 200, {"clock_ms": self.clock(), "born": self.born, "running": running, "finished": self.ended[:500]}
 
 
-async def advise(request):
+class Advice:
     """The advice service: allows each step a fixed part of the VMs."""
-    body = request.json()
-    await asyncio.sleep(0.005 + 0.0002 * len(body["workers"]))
-    allowed = [worker for worker in body["workers"] if is_allowed(body["step"], worker)]
-    return 200, {"allowed": [[worker, "ticket-" + worker] for worker in allowed], "validity_ms": 1500}
+
+    def __init__(self, vms):
+        self.vms = vms
+
+    async def handle(self, request):
+        body = request.json()
+        await asyncio.sleep(0.005 + 0.0002 * len(body["workers"]))
+        vms = [self.vms[worker] for worker in body["workers"] if worker in self.vms and is_allowed(body["step"], worker)]
+        return 200, {"allowed": [[vm.id, ticket(body["step"], vm)] for vm in vms], "validity_ms": 1500}
+
+
+def ticket(step, vm):
+    """Valid for the tasks of one step on one incarnation of the VM."""
+    return f"{step} {vm.id} {vm.born}"
 
 
 def is_allowed(step, worker):
