Soak: a VM that is down carries out no late command

Cause: a stand-in with vm-late keeps commands for up to 3 s and did not look again whether the VM was still up. A start that was kept over a crash made a run on a VM that is down; the boot that followed forgot it without an end, so the rule "no task runs twice at a time" would have held it for running for good.

Ruled out: that this hides what daemons do wrong. A VM that is up again still carries out late commands for its earlier incarnation.

--- a/test/cell/vms.py
+++ b/test/cell/vms.py
@@ -165,7 +165,8 @@
         if self.lost and self.random.random() < self.lost:
             # Carried out after newer calls perhaps, and never answered.
             await asyncio.sleep(self.random.choice([0.0, 0.0, self.random.uniform(0.2, 3.0)]))
-            await self.answer(request)
+            if self.up:
+                await self.answer(request)
             return None
         answer = await self.answer(request)
         return None if self.mute and self.random.random() < self.mute else answer
