Soak: seeds from 2000 on restart VMs under their ids and cut them off, beside other faults

Cause: no seed drew vm-recut, which only two scenarios had.

Change: seeds from 2000 on draw a series with at least one vm-recut (2 to 5 of 24 VMs, for 5 or 15 s) beside kills, freezes and cuts of the owner, late and unanswered commands, outages of the store and the other kinds; a fifth of the jobs of teams without a limit run for longer than any lease. 24 VMs let the owner reach most of them, so that it goes on. The drawing of scenarios has a file of its own.

Ruled out: that earlier seeds changed; their scenarios were compared with those of the code before for seeds 0 to 1999.

--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -20,6 +20,7 @@
 import time
 
 import cell as deployment
+from draw import draw_scenario, parse_scenario
 from loopback import Channel
 from promises import CONFIG_S, NEAR_S, Job, Promises
 
@@ -29,7 +30,6 @@
 PATIENCE_S = 3.0
 # An owner's lease and its heartbeats to the others have run out well within this time after a cut.
 ROTATION_S = 4.0
-FIRST_SEED_OF_LATER_KINDS = 1000
 PLANNED = {"term", "key", "route", "hup", "drain"}
 
 
@@ -385,48 +385,6 @@
                 self.promises.broken("a configuration is in force", f"{path} at {daemon.name}: {answer[0]}, not {expected}, with version {version}")
 
 
-def draw_scenario(seed):
-    """Lines of a random scenario: faults in series that overlap."""
-    draw = random.Random(seed)
-    daemons = [f"daemon-{number}" for number in range(6)]
-    one = lambda: draw.choice(["owner", "owner", draw.choice(daemons)])
-    choices = [
-        lambda: f"kill {one()}", lambda: "kill all", lambda: f"freeze {one()} for {draw.choice([1, 3, 6])}", lambda: f"term {one()}",
-        lambda: f"hup {one()}", lambda: f"store {draw.choice(['down', 'refuse', 'slow', 'lost'])} for {draw.choice([1, 3, 5])}",
-        lambda: "store forget", lambda: f"cut-store {one()} for {draw.choice([2, 4])}", lambda: f"deaf-store {one()} for {draw.choice([2, 4])}",
-        lambda: f"silence {draw.choice(['all', one()])}", lambda: f"reset {draw.choice(['all', one()])}", lambda: f"cut-peers {one()} for 3",
-        lambda: f"delay-peers {one()} for 3", lambda: f"vm-crash {draw.randint(1, 4)} for {draw.choice([1, 3, 8])}",
-        lambda: f"vm-cut {draw.randint(1, 4)} for {draw.choice([2, 5, 12])}", lambda: f"vm-silence {draw.randint(1, 6)}",
-        lambda: f"vm-late {draw.randint(1, 6)} for 4", lambda: f"vm-fails {draw.randint(1, 3)} for 3",
-        lambda: f"drain {draw.randint(1, 3)} for 4", lambda: f"key {draw.choice(['blue', 'green'])}"]
-    # Earlier seeds keep the scenarios that they have always had.
-    if seed >= FIRST_SEED_OF_LATER_KINDS:
-        choices += [lambda: f"vm-mute {draw.randint(1, 6)} for 4", lambda: "odd-entries 99 for 4"]
-    at = 2.0
-    lines = []
-    for _ in range(draw.randint(3, 7)):
-        lines.append(f"at {at:.1f} {draw.choice(choices)()}")
-        at += draw.choice([0.1, 0.5, 1.5, 3.0])
-    return [f"load {at + 2:.1f}", *lines]
-
-
-def parse_scenario(lines):
-    """The scenario's settings by name, and its faults."""
-    settings, faults = {"load": 8.0, "rate": 8.0, "cancel-early": 0.05, "long": 0.0, "daemons": None, "vms": None}, []
-    for line in lines:
-        words = line.split("#")[0].split()
-        if not words:
-            continue
-        if words[0] in settings:
-            settings[words[0]] = float(words[1])
-        elif words[0] == "at":
-            seconds = float(words[words.index("for") + 1]) if "for" in words else 0.0
-            faults.append((float(words[1]), words[2], words[3] if len(words) > 3 and words[3] != "for" else "", seconds))
-        else:
-            raise ValueError(f"unknown line: {line}")
-    return settings, faults
-
-
 async def play(options, lines, seed):
     settings, faults = parse_scenario(lines)
     promises = Promises(timed=not options.untimed)
