Lab: VMs restart under their ids and take commands for their earlier incarnations

Its VMs were down for some 2.5 s, the registry showed them at once, they granted leases of any length on an exact clock, and commands on their way died with the incarnation that they were sent to.

Change: a quick restart (0.2 to 1.5 s) that the registry shows up to 1.5 s late; most of these VMs are cut off soon after. Commands on their way wait for the VM and are executed by its next incarnation. VMs may have a longest lease and a slow clock. All of it is off in the settings of before.

The tail of these settings is 240 s.

--- a/tools/cell-model/CellModel.cpp
+++ b/tools/cell-model/CellModel.cpp
@@ -119,6 +119,7 @@
     repeat(m_settings.faults.secondsBetweenCuts, [this, anyVm] { anyVm().cutUntil = m_clock.now() + Milliseconds(std::llround(m_dice.around(5000, 0.6))); });
     repeat(m_settings.faults.secondsBetweenOwners, [this] { changeOwner(); });
     repeat(m_settings.faults.secondsBetweenOutages, [this] { m_storeDownUntil = m_clock.now() + Milliseconds(std::llround(m_dice.around(3000, 0.5))); });
+    repeat(m_settings.faults.secondsBetweenRestarts, [this, anyVm] { restart(anyVm()); });
     repeat(m_settings.faults.secondsBetweenDrains, [this, anyVm] {
         auto& vm = anyVm();
         vm.report.draining = true;
@@ -136,8 +137,10 @@
         return;
     std::vector<VmReport> reports;
     for (const auto& [id, vm] : m_vms) {
-        if (vm.isUp)
-            reports.push_back(vm.report);
+        if (!vm.isUp && !vm.isRestarting)
+            continue;
+        reports.push_back(vm.report);
+        reports.back().incarnation = vm.registeredIncarnation;
     }
     m_desk->setVms(reports, m_clock.deskTime());
 }
--- a/tools/cell-model/CellModel.h
+++ b/tools/cell-model/CellModel.h
@@ -45,6 +45,14 @@
     /// Share of runs that fail, and of jobs that are cancelled.
     double failedRuns = 0.02;
     double cancelledJobs = 0;
+    /// Mean seconds between quick restarts of a VM under its id, of which the registry learns late; most of these VMs
+    /// are cut off soon after. Zero: none.
+    double secondsBetweenRestarts = 0;
+    /// Whether a VM that has restarted executes commands that were on their way to its earlier incarnation.
+    bool areCommandsInherited = false;
+    /// Whether it also executes those that a VM executes late, and the share of heartbeats that are executed late.
+    bool areLateCommandsInherited = false;
+    double lateHeartbeats = 0;
 };
 
 struct ModelSettings {
@@ -61,6 +69,10 @@
     Milliseconds networkDelay { 3 };
     Milliseconds storeDelay { 8 };
     Milliseconds vmLease { 8000 };
+    /// Longest lease that a VM grants, on its own clock; nullopt: whatever the deadline says.
+    std::optional<Milliseconds> longestVmLease;
+    /// Rate of the VMs' clocks.
+    double vmClockRate = 1;
     /// One VM in three is so much slower.
     double slowFactor = 1.3;
     /// Fleets differ in how long callers send; afterwards the model runs until all is done.
@@ -110,5 +122,9 @@
 /// The deployments of today and the target of two years, calm.
 std::vector<std::string> modelDeployments();
 ModelSettings modelDeployment(const std::string& name);
+/// Adds quick restarts of VMs, with long tasks that run meanwhile.
+void addRestarts(ModelSettings& settings);
+/// Lets VMs execute commands late, also those for an earlier incarnation.
+void addLateCommands(ModelSettings& settings);
 
 } // namespace heatherchute::cell
--- a/tools/cell-model/Deployments.cpp
+++ b/tools/cell-model/Deployments.cpp
@@ -147,4 +147,24 @@
     return workshop(1, 48, 1);
 }
 
+void addRestarts(ModelSettings& settings)
+{
+    settings.longestVmLease = Milliseconds(10'000);
+    settings.vmClockRate = 0.98;
+    settings.faults.secondsBetweenRestarts = 0.7;
+    settings.faults.areCommandsInherited = true;
+    // Longer than any lease, and fewer, so that they leave room.
+    auto& medium = settings.queues.at(1);
+    medium.runMs = 14'000;
+    medium.jobsPerSecond = 1.2;
+    settings.longestTail = Seconds(240);
+}
+
+void addLateCommands(ModelSettings& settings)
+{
+    settings.faults.lateOrders = 0.03;
+    settings.faults.lateHeartbeats = 0.03;
+    settings.faults.areLateCommandsInherited = true;
+}
+
 } // namespace heatherchute::cell
--- a/tools/cell-model/Load.cpp
+++ b/tools/cell-model/Load.cpp
@@ -15,6 +15,8 @@
         vm.report.rack = "r" + std::to_string(i % settings.failureDomains) + "-" + std::to_string(i / settings.vmsPerRack);
         vm.report.labels = { i % 2 ? "a" : "b", vm.report.rack };
         vm.report.incarnation = 1 + i;
+        vm.registeredIncarnation = vm.report.incarnation;
+        vm.clockRate = settings.vmClockRate;
         vm.speed = i % 3 == 2 ? settings.slowFactor : 1;
         vm.bornAt = now - Milliseconds(100 * i);
         vms.emplace(vm.report.id, vm);
--- a/tools/cell-model/ModelVms.cpp
+++ b/tools/cell-model/ModelVms.cpp
@@ -33,7 +33,6 @@
         job.hasStarted = true;
         m_result.queues[job.queue->policy.name].waitMs.push_back(std::chrono::duration<double, std::milli>(m_clock.now() - job.handedIn).count());
     }
-    vm.leaseUntil = std::max(vm.leaseUntil, m_clock.now() + Milliseconds(order.deadlineMs - nowMs));
     ++vm.life;
     const auto runMs = job.tasks.at(order.task).runMs * vm.speed;
     vm.running[order.task] = { order.run, job.spec.steps.at(order.task.step).need, m_clock.now() + Milliseconds(std::llround(runMs)), vm.life, order.checkpoint };
@@ -41,7 +40,7 @@
         joinGang(vm, order.task, order.run, runMs);
     else
         beginRun(vm, order.task, order.run, runMs);
-    m_clock.at(vm.leaseUntil, [this, &vm] { lapse(vm); });
+    extendLease(vm, order.deadlineMs);
     return StartAnswer::Started;
 }
 
@@ -115,6 +114,14 @@
         waiter();
 }
 
+void World::extendLease(ModelVm& vm, std::int64_t deadlineMs)
+{
+    const auto meant = Milliseconds(deadlineMs - vm.clockMs(m_clock.now()));
+    const auto granted = std::min(meant, m_settings.longestVmLease.value_or(meant));
+    vm.leaseUntil = std::max(vm.leaseUntil, m_clock.now() + Milliseconds(std::llround(static_cast<double>(granted.count()) / vm.clockRate)));
+    m_clock.at(vm.leaseUntil, [this, &vm] { lapse(vm); });
+}
+
 void World::lapse(ModelVm& vm)
 {
     if (!vm.isUp || m_clock.now() < vm.leaseUntil)
@@ -131,11 +138,8 @@
     }
 }
 
-void World::crash(ModelVm& vm, bool isBack)
+void World::goDown(ModelVm& vm)
 {
-    if (!vm.isUp)
-        return;
-    trace("crash", vm.report.id);
     vm.isUp = false;
     const auto running = std::exchange(vm.running, {});
     for (const auto& [task, run] : running) {
@@ -149,6 +153,14 @@
     vm.lapsedThrough = 0;
     vm.fence = 0;
     ++vm.life;
+}
+
+void World::crash(ModelVm& vm, bool isBack)
+{
+    if (!vm.isUp)
+        return;
+    trace("crash", vm.report.id);
+    goDown(vm);
     m_clock.after(Milliseconds(3000), [this] { updateRegistry(); pump(); });
     if (!isBack)
         return;
@@ -156,11 +168,50 @@
         vm.isUp = true;
         vm.bornAt = m_clock.now();
         vm.report.incarnation += 1000;
+        vm.registeredIncarnation = vm.report.incarnation;
         updateRegistry();
         pump();
     });
 }
 
+void World::restart(ModelVm& vm)
+{
+    constexpr double cutShare = 0.7;
+    if (!vm.isUp)
+        return;
+    trace("restart", vm.report.id);
+    goDown(vm);
+    vm.isRestarting = true;
+    m_clock.after(uniformMs(200, 1500), [this, &vm] {
+        vm.isRestarting = false;
+        vm.isUp = true;
+        vm.bornAt = m_clock.now();
+        vm.leaseUntil = TimePoint();
+        vm.report.incarnation += 1000;
+        m_clock.after(uniformMs(0, 1500), [this, &vm] {
+            vm.registeredIncarnation = vm.report.incarnation;
+            updateRegistry();
+            pump();
+        });
+        if (m_dice.uniform() < cutShare)
+            m_clock.after(uniformMs(50, 1500), [this, &vm] { vm.cutUntil = m_clock.now() + uniformMs(4000, 16'000); });
+    });
+}
+
+void World::deliver(const std::string& vm, Milliseconds delay, std::function<void(ModelVm&)> execute)
+{
+    /// A command waits for so long in its queue and for its connection.
+    constexpr Milliseconds longestDelivery { 1700 };
+    m_clock.after(delay, [this, vm, end = m_clock.now() + longestDelivery, execute = std::move(execute)] { waitForRestart(m_vms.at(vm), end, execute); });
+}
+
+void World::waitForRestart(ModelVm& vm, TimePoint end, std::function<void(ModelVm&)> execute)
+{
+    if (!m_settings.faults.areCommandsInherited || !vm.isRestarting || m_clock.now() >= end)
+        return execute(vm);
+    m_clock.after(Milliseconds(10), [this, &vm, end, execute = std::move(execute)] { waitForRestart(vm, end, execute); });
+}
+
 void World::start(std::uint64_t owner, std::uint64_t fence, const StartRun& order)
 {
     const auto sentAt = m_clock.now();
@@ -175,10 +226,9 @@
     if (isLost)
         lost();
     const auto sentTo = m_vms.at(order.vm).bornAt;
-    m_clock.after(delay, [this, owner, fence, order, isLost, lost, sentAt, sentTo] {
-        auto& vm = m_vms.at(order.vm);
-        // An order that a VM keeps for later dies with that life of the VM.
-        const bool isDelivered = isReachable(vm) && vm.bornAt == sentTo;
+    const bool isInherited = isLate ? m_settings.faults.areLateCommandsInherited : m_settings.faults.areCommandsInherited;
+    deliver(order.vm, delay, [this, owner, fence, order, isLost, lost, sentAt, sentTo, isInherited](ModelVm& vm) {
+        const bool isDelivered = isReachable(vm) && (isInherited || vm.bornAt == sentTo);
         if (!isDelivered && !isLost)
             return lost();
         if (!isDelivered)
@@ -192,8 +242,7 @@
 
 void World::stop(std::uint64_t owner, std::uint64_t fence, const StopRun& order)
 {
-    m_clock.after(wire(), [this, owner, fence, order] {
-        auto& vm = m_vms.at(order.vm);
+    deliver(order.vm, wire(), [this, owner, fence, order](ModelVm& vm) {
         const bool isReached = isReachable(vm);
         const bool isFenced = isReached && fence < vm.fence;
         if (isReached && !isFenced) {
@@ -236,11 +285,33 @@
     });
 }
 
+void World::executeHeartbeat(ModelVm& vm, std::uint64_t fence, const BeatVm& order)
+{
+    vm.fence = fence;
+    acknowledge(vm, order.acknowledged);
+    if (order.deadlineMs > 0)
+        extendLease(vm, order.deadlineMs);
+}
+
+void World::beatLate(std::uint64_t owner, std::uint64_t fence, const BeatVm& order)
+{
+    const auto sentTo = m_vms.at(order.vm).bornAt;
+    m_clock.after(uniformMs(2000, 12'000), [this, fence, order, sentTo] {
+        auto& vm = m_vms.at(order.vm);
+        const bool isInherited = m_settings.faults.areLateCommandsInherited || vm.bornAt == sentTo;
+        if (isReachable(vm) && isInherited && fence >= vm.fence)
+            executeHeartbeat(vm, fence, order);
+    });
+    const BeatAnswer answer { order.vm, m_clock.now(), false, std::nullopt };
+    toOwner(owner, order.wait + Milliseconds(700), [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+}
+
 void World::beat(std::uint64_t owner, std::uint64_t fence, const BeatVm& order)
 {
+    if (m_settings.faults.lateHeartbeats > 0 && m_dice.uniform() < m_settings.faults.lateHeartbeats)
+        return beatLate(owner, fence, order);
     const auto sentAt = m_clock.now();
-    m_clock.after(wire(), [this, owner, fence, order, sentAt] {
-        auto& vm = m_vms.at(order.vm);
+    deliver(order.vm, wire(), [this, owner, fence, order, sentAt](ModelVm& vm) {
         BeatAnswer answer { order.vm, sentAt, false, std::nullopt };
         if (!isReachable(vm)) {
             toOwner(owner, Milliseconds(700), [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
@@ -251,12 +322,7 @@
             toOwner(owner, wire(), [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
             return;
         }
-        vm.fence = fence;
-        acknowledge(vm, order.acknowledged);
-        if (order.deadlineMs > 0) {
-            vm.leaseUntil = std::max(vm.leaseUntil, m_clock.now() + Milliseconds(order.deadlineMs - vm.clockMs(m_clock.now())));
-            m_clock.at(vm.leaseUntil, [this, &vm] { lapse(vm); });
-        }
+        executeHeartbeat(vm, fence, order);
         auto isAnswered = std::make_shared<bool>(false);
         auto reply = [this, &vm, owner, answer, isAnswered, bornAt = vm.bornAt]() mutable {
             if (std::exchange(*isAnswered, true))
--- a/tools/cell-model/World.h
+++ b/tools/cell-model/World.h
@@ -71,8 +71,13 @@
     VmReport report;
     double speed = 1;
     bool isUp = true;
+    /// While it is down for a quick restart.
+    bool isRestarting = false;
     TimePoint cutUntil;
     TimePoint bornAt;
+    /// Incarnation that the registry shows.
+    std::int64_t registeredIncarnation = 0;
+    double clockRate = 1;
     std::uint64_t life = 1;
     std::uint64_t fence = 0;
     TimePoint leaseUntil;
@@ -84,7 +89,7 @@
     std::uint64_t lapsedThrough = 0;
     std::vector<std::function<void()>> waiters;
 
-    std::int64_t clockMs(TimePoint now) const { return 1000 + std::chrono::duration_cast<Milliseconds>(now - bornAt).count(); }
+    std::int64_t clockMs(TimePoint now) const { return 1000 + static_cast<std::int64_t>(static_cast<double>(std::chrono::duration_cast<Milliseconds>(now - bornAt).count()) * clockRate); }
     Room used() const;
 };
 
@@ -165,8 +170,17 @@
     void breakGang(const TaskId& member, std::uint32_t run);
     bool isGang(const TaskId& task) const { return m_jobs.at(task.job).spec.steps.at(task.step).gang; }
     void acknowledge(ModelVm& vm, std::uint64_t number);
+    void extendLease(ModelVm& vm, std::int64_t deadlineMs);
     void lapse(ModelVm& vm);
+    void goDown(ModelVm& vm);
     void crash(ModelVm& vm, bool isBack);
+    void restart(ModelVm& vm);
+    /// Delivers a command after `delay`; a VM that is down for a restart may get it when it is back.
+    void deliver(const std::string& vm, Milliseconds delay, std::function<void(ModelVm&)> execute);
+    void waitForRestart(ModelVm& vm, TimePoint end, std::function<void(ModelVm&)> execute);
+    void executeHeartbeat(ModelVm& vm, std::uint64_t fence, const BeatVm& order);
+    /// Executes a heartbeat late and gives the owner no response.
+    void beatLate(std::uint64_t owner, std::uint64_t fence, const BeatVm& order);
     void checkStart(const ModelVm& vm, const StartRun& order);
     void broken(const std::string& text);
     void toOwner(std::uint64_t owner, Milliseconds delay, std::function<void()> action);
@@ -178,6 +192,7 @@
     void trace(std::string_view what, const std::string& text);
     void updateRegistry();
 
+    Milliseconds uniformMs(std::int64_t least, std::int64_t most) { return Milliseconds(least + std::llround(m_dice.uniform() * static_cast<double>(most - least))); }
     Milliseconds wire() { return Milliseconds(std::max<std::int64_t>(1, std::llround(m_dice.around(static_cast<double>(m_settings.networkDelay.count()), 0.3)))); }
     void repeat(double meanSeconds, std::function<void()> fault);
 
--- a/tools/heatherchute-lab/main.cpp
+++ b/tools/heatherchute-lab/main.cpp
@@ -51,6 +51,8 @@
     add("trace", options::value(&trace), "prints the decisions that name this text, such as a job's id");
     add("first-fit", "plays the same load first come first served with first fit as well, without faults");
     add("faults", "crashes, cuts, new owners, outages, late orders and lost answers");
+    add("restarts", "VMs that start anew under their ids and take commands for their earlier incarnations");
+    add("late-commands", "VMs that execute commands late, also after a restart");
     options::variables_map values;
     try {
         options::store(options::parse_command_line(argc, argv, description), values);
@@ -76,6 +78,10 @@
             settings.trace = trace;
             if (values.count("faults"))
                 settings.faults = { 0.02, 0.03, 4, 5, 8, 9, 12, 0.03, 0.05 };
+            if (values.count("restarts"))
+                addRestarts(settings);
+            if (values.count("late-commands"))
+                addLateCommands(settings);
             const auto result = playModel(settings);
             isSound = isSound && result.broken.empty();
             print(name, settings.seed, result);
--- a/unittests/Cell/CellModelTest.cpp
+++ b/unittests/Cell/CellModelTest.cpp
@@ -74,6 +74,22 @@
     REQUIRE(violationsOf(playModel(settings)).empty());
 }
 
+TEST_CASE("A run that a restarted VM took by a command for its earlier incarnation is not started elsewhere within its lease")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        auto settings = modelDeployment("workshop");
+        settings.seed = seed;
+        settings.load = Seconds(12);
+        settings.faults.lostAnswers = 0.02;
+        settings.faults.secondsBetweenOwners = 8;
+        addRestarts(settings);
+        const auto violations = violationsOf(playModel(settings));
+        INFO("seed " << seed << '\n'
+                     << violations);
+        CHECK(violations.empty());
+    }
+}
+
 TEST_CASE("Late gangs do not starve in a cell that is half empty")
 {
     // With these seeds they once did, because they requested advice for too few VMs, too rarely, or
