--- a/include/heatherchute/LeaseBounds.h
+++ b/include/heatherchute/LeaseBounds.h
@@ -3,6 +3,8 @@
 
 #include "heatherchute/Support.h"
 
+#include <algorithm>
+
 namespace heatherchute::cell {
 
 struct LeaseLimits {
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -13,7 +13,7 @@
 
 /// Duration of the store lease that holds the owner's record.
 Milliseconds electionLease(const NodeSettings& settings);
-/// Duration of the leases that the owner grants to VMs.
+/// Limits of the leases that the owner grants to VMs.
 cell::LeaseLimits leaseLimits(const NodeSettings& settings);
 
 /// The other components of the daemon.
