Owners on slow links load the cell, or give it up

Cause: a daemon with 0.3 of a core and 10 Mbit/s won the claim and never loaded the cell. Each page of a listing had one deadline of 0.9 s; a page of 1 MB takes longer on that link, and after a timeout all pages were read again. Only the processor share decided who claims first and who hands over, and nothing ended a load.

Ruled out: a longer timeout, which only moves the size at which the same happens; giving up for the time in which the store is away, as the lease lapses then and keeps nobody from claiming.

Change: pages are judged by the bytes that arrive, and listings repeat only the page that failed. What was read is kept for the next term while the cell's head is unchanged. A load has a deadline, after which the claim is released and not repeated for a time; both grow with each failure. Claims are delayed, and the cell handed over, by processor share and link (new setting link_mbps); an owner whose event loop stays late hands over earlier. While no daemon can serve, daemons stay in rotation, and callers are told to return when a successor is expected.

Result: unit tests for each part.

--- a/include/heatherchute/Http.h
+++ b/include/heatherchute/Http.h
@@ -115,6 +115,11 @@
     std::size_t maxBodyBytes = 4U << 20;
     /// For the free slot and the connection; the request is not sent after it. Zero is the whole timeout.
     Milliseconds sendTimeout { 0 };
+    /// If positive, `timeout` bounds only the time until the first bytes of the response. From then on the
+    /// response may take any time in which this time never passes without further bytes, up to `maxReadTime`.
+    /// For large responses, whose duration depends on the bandwidth of the link.
+    Milliseconds stallTimeout { 0 };
+    Milliseconds maxReadTime { 60'000 };
 };
 
 /// Limits of a client.
--- a/include/heatherchute/Node.h
+++ b/include/heatherchute/Node.h
@@ -34,6 +34,8 @@
     double spreadFactor = 2;
     /// Number of processor cores that the daemon may use; may be a fraction.
     double processorShare = 1;
+    /// Bandwidth of the daemon's link in Mbit/s; zero if unknown.
+    double linkMbps = 0;
 };
 
 /// Settings together with the errors found in them; the settings are usable when there are none.
--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -69,6 +69,20 @@
         return response;
     }
 
+    /// Reads a response whose duration is bounded by its progress instead of a deadline.
+    template <typename Parser>
+    boost::system::error_code readWhileProgressing(Connection& connection, Parser& parser, const HttpCallOptions& options)
+    {
+        const auto readDeadline = Clock::now() + options.maxReadTime;
+        while (!parser.is_done()) {
+            const auto read = awaitIo([&](auto handler) { http::async_read_some(connection.stream, connection.buffer, parser, std::move(handler)); });
+            if (read.error)
+                return read.error;
+            connection.stream.expires_at(std::min(readDeadline, Clock::now() + options.stallTimeout));
+        }
+        return {};
+    }
+
     /// Counts one request to an address during its own lifetime.
     class ActiveRequestGuard {
     public:
@@ -195,11 +209,13 @@
     parser.body_limit(options.maxBodyBytes);
     if (request.method == "HEAD")
         parser.skip(true);
-    const auto read = awaitIo([&](auto handler) { http::async_read(stream, connection->buffer, parser, std::move(handler)); });
+    const auto readError = options.stallTimeout.count() > 0
+        ? readWhileProgressing(*connection, parser, options)
+        : awaitIo([&](auto handler) { http::async_read(stream, connection->buffer, parser, std::move(handler)); }).error;
     // The cause of a timeout may affect the idle connections to the same address too: close them.
-    if (read.error == beast::error::timeout)
+    if (readError == beast::error::timeout)
         m_state->idleConnections.erase(address);
-    if (read.error)
+    if (readError)
         return parser.is_header_done() ? ErrorKind::EndpointFailed : ErrorKind::OutcomeUnknown;
     const bool keepAlive = parser.keep_alive();
     auto response = toResponse(parser.release());
--- a/lib/Node/Calls.cpp
+++ b/lib/Node/Calls.cpp
@@ -115,11 +115,21 @@
         pending.dispatch.awaitsAnswer = false;
 }
 
+/// Replaces the error's default; an error without one gets none.
+static void setRetryAfter(HttpResponse& response, Seconds time)
+{
+    for (auto& header : response.headers) {
+        if (header.name == "Retry-After")
+            header.value = std::to_string(time.count());
+    }
+}
+
 void NodeCore::expireRequests()
 {
     const auto time = Clock::now();
     // The scheduler of this daemon refuses what it can't store.
     const bool isCutOff = !m_scheduler && !isOwnerReachable() && isCutOffFromOwner(m_ownerReachedAt, time);
+    const bool isAbsentForAll = isOwnerAbsentForAll();
     for (auto it = m_requests.begin(); it != m_requests.end();) {
         const auto& pending = it->second;
         const auto expiry = expiryOf(pending, isCutOff, time);
@@ -128,6 +138,8 @@
             continue;
         }
         auto response = errorResponse(expiry == RequestExpiry::Unknown ? ErrorKind::OutcomeUnknown : ErrorKind::HomeUnreachable);
+        if (expiry == RequestExpiry::NotRun && isAbsentForAll)
+            setRetryAfter(response, retryAfterAbsence(time - m_ownerReachedAt, pending.request.job));
         // The caller's next connection leads to another daemon once this one is out of rotation.
         response.closesConnection = isCutOff;
         respond(pending, std::move(response));
@@ -142,10 +154,8 @@
         return platform::unknownJobAnswer();
     if (reply.error != ErrorKind::None) {
         auto response = errorResponse(reply.error);
-        for (auto& header : response.headers) {
-            if (header.name == "Retry-After" && reply.retryAfter > 0)
-                header.value = std::to_string(reply.retryAfter);
-        }
+        if (reply.retryAfter > 0)
+            setRetryAfter(response, Seconds(reply.retryAfter));
         return response;
     }
     switch (request.kind) {
--- a/lib/Node/Core.cpp
+++ b/lib/Node/Core.cpp
@@ -36,39 +36,49 @@
     logEvent(LogLevel::Info, "figures", std::move(fields));
 }
 
-void NodeCore::stepDownForLargerDaemon()
+void NodeCore::stepDownForBetterOwner()
 {
-    /// The owner gives up the cell only to a daemon whose processor share is at least this many
-    /// times its own.
-    constexpr double minShareRatio = 2;
     /// Long enough for all daemons to connect to the owner, short enough for few jobs to queue up.
     constexpr Milliseconds settleTime { 700 };
     constexpr Milliseconds abstention { 2500 };
     const auto time = Clock::now();
-    // Also while the cell is being read, which a daemon with a small share may never finish.
+    // Also while the cell is being read, which a daemon with a slow link may not finish.
     if (!m_election.isOwner() || m_isStopping || time - m_ownedSince < settleTime || time < m_nextStepDownCheck)
         return;
     m_nextStepDownCheck = time + settleTime;
     for (const auto& [link, peer] : m_peers) {
-        if (!peer.isOpen || peer.hello.processorShare < minShareRatio * m_settings.processorShare)
+        const DaemonCapacity other { peer.hello.processorShare, peer.hello.linkMbps };
+        if (!peer.isOpen || !isBetterOwner(other, capacity(), m_loopDelay.isLate()))
             continue;
         m_nextStepDownCheck = time + 4 * abstention;
-        m_election.stepDown("daemon " + peer.hello.daemon + " has a larger processor share", time, time + abstention);
+        logEvent(LogLevel::Info, "better_owner_known", { { "peer", peer.hello.daemon }, { "processor_share", other.processorShare }, { "link_mbps", other.linkMbps }, { "is_late", m_loopDelay.isLate() }, { "is_loading", isLoadingCell() } });
+        m_loopDelay.reset();
+        m_election.stepDown("daemon " + peer.hello.daemon + " has a larger capacity", time, time + abstention);
         schedulePass();
         return;
     }
 }
 
+void NodeCore::stepDownIfLoadOverdue()
+{
+    if (!isLoadingCell())
+        return;
+    const auto time = Clock::now();
+    m_loadDeadline.tick(m_election.tenure() == cell::Tenure::Owner, time);
+    if (!m_loadDeadline.isOverdue())
+        return;
+    const auto pause = m_loadDeadline.onFailed();
+    logEvent(LogLevel::Warning, "cell_load_overdue", { { "elapsed_ms", m_loadDeadline.elapsed().count() }, { "next_claim_ms", pause.count() } });
+    m_election.stepDown("the cell was not loaded in time", time, time + pause);
+    schedulePass();
+}
+
 static cell::ElectionSettings electionSettings(const NodeSettings& settings)
 {
     cell::ElectionSettings election;
     election.daemon = settings.name;
     election.lease = electionLease(settings);
-    // The owner's load grows with the fleet, so daemons with a larger processor share claim first.
-    constexpr double smallShareLimit = 0.25;
-    constexpr Milliseconds smallShareClaimDelay { 250 };
-    if (settings.processorShare < smallShareLimit)
-        election.claimDelay = smallShareClaimDelay;
+    election.claimDelay = claimDelayOf({ settings.processorShare, settings.linkMbps });
     return election;
 }
 
@@ -78,6 +88,7 @@
     , m_eventLoop("core")
     , m_inbox(m_eventLoop, ringCapacity, [](Closure&& closure) { closure(); })
     , m_election(electionSettings(m_settings), stableHash(m_incarnation))
+    , m_loopDelay(tickInterval)
 {
 }
 
@@ -145,7 +156,9 @@
     expireAdviceRequests();
     expireCommands();
     maintainLinks();
-    stepDownForLargerDaemon();
+    m_loopDelay.onTick(Clock::now());
+    stepDownIfLoadOverdue();
+    stepDownForBetterOwner();
     logStatistics();
     runPass();
     updateReadiness();
@@ -158,7 +171,10 @@
     const bool hasOwner = isOwnerReachable();
     if (hasOwner)
         m_ownerReachedAt = Clock::now();
-    m_components.front->setReady(m_policy && hasOwner && !m_isStopping);
+    m_wasOwnerReached = m_wasOwnerReached || hasOwner;
+    // Another daemon would serve the callers no better while there is no owner, so this one remains in rotation.
+    const bool isServing = hasOwner || (m_wasOwnerReached && isOwnerAbsentForAll());
+    m_components.front->setReady(m_policy && isServing && !m_isStopping);
 }
 
 void NodeCore::adoptPolicy(std::string text, cell::CellPolicyPointer policy, std::string_view source)
@@ -185,6 +201,7 @@
         m_metrics.gauge("reachable_vms", static_cast<double>(statistics.reachableVms));
     }
     m_metrics.gauge("owns_cell", m_scheduler ? 1 : 0);
+    m_metrics.gauge("cell_load_seconds", isLoadingCell() ? static_cast<double>(m_loadDeadline.elapsed().count()) / 1000 : 0);
     m_metrics.gauge("policy_version", m_policy ? static_cast<double>(m_policy->version) : 0);
     HttpResponse response;
     response.headers.push_back({ "Content-Type", "text/plain; version=0.0.4" });
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -1,6 +1,7 @@
 /// The core of the daemon: an event loop that makes all decisions and never blocks.
 #pragma once
 
+#include "CellLoad.h"
 #include "Duties.h"
 #include "OwnerContact.h"
 #include "heatherchute/Cell.h"
@@ -112,8 +113,10 @@
     void updateReadiness();
     /// Periodically logs the load of the daemon.
     void logStatistics();
-    /// Gives up the cell when a connected daemon has a much larger processor share.
-    void stepDownForLargerDaemon();
+    /// Gives up the cell when a connected daemon is a better owner.
+    void stepDownForBetterOwner();
+    /// Gives up the cell when it has not been loaded in time.
+    void stepDownIfLoadOverdue();
     void continueStop();
     void adoptPolicy(std::string text, cell::CellPolicyPointer policy, std::string_view source);
 
@@ -167,6 +170,12 @@
     void run(const cell::OwnershipBegan& began);
     void run(const cell::OwnershipEnded& ended);
     void loadCell();
+    /// Starts the scheduler with the cell that was read. `load` has the figures of the load for the log.
+    void adoptCell(cell::StateLog log, const std::vector<cell::StoredJob>& jobs, Json load);
+    bool isLoadingCell() const { return m_election.isOwner() && !m_scheduler; }
+    DaemonCapacity capacity() const { return { m_settings.processorShare, m_settings.linkMbps }; }
+    /// Returns true if, by the store and the other daemons, no daemon can serve calls now.
+    bool isOwnerAbsentForAll() const;
     void watchRegistry();
     void applyRegistry();
     void watchPolicy();
@@ -220,6 +229,10 @@
     /// Shared with the fibers of the current ownership term; set when the term ends.
     std::shared_ptr<std::atomic<bool>> m_ownershipEnded;
     std::unique_ptr<cell::CellDesk> m_scheduler;
+    /// Used by the fibers of the outbound duty only.
+    std::shared_ptr<CellReading> m_reading = std::make_shared<CellReading>();
+    LoadDeadline m_loadDeadline;
+    LoopDelayMonitor m_loopDelay;
     std::uint64_t m_headRevision = 0;
     cell::StateLog m_stateLog;
     std::map<std::string, cell::VmReport> m_registry;
@@ -230,6 +243,10 @@
     OwnerDirectory m_ownerDirectory;
     /// Time at which the owner was last reachable.
     TimePoint m_ownerReachedAt;
+    /// Some owner has been reachable since the process started.
+    bool m_wasOwnerReached = false;
+    /// When the store last told this daemon who owns the cell.
+    TimePoint m_ownerReadAt;
     /// Number of daemons that were heard from when this one's claim was last renewed.
     std::size_t m_peersAtRenewal = 0;
     std::map<std::uint64_t, PendingRequest> m_requests;
--- a/lib/Node/Messages.h
+++ b/lib/Node/Messages.h
@@ -26,8 +26,12 @@
     std::uint64_t ownerRevision = 0;
     /// The sender's bootTimeMs(); zero from versions that don't send it.
     std::int64_t clockMs = 0;
+    /// Bandwidth of the daemon's link; zero if unknown.
+    double linkMbps = 0;
+    /// The daemon holds the owner record and has not loaded the cell yet.
+    bool isLoadingCell = false;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PeerHello, daemon, failureDomain, incarnation, policyVersion, ownsCell, peerAddress, fencingToken, processorShare, ownerAddress, ownerRevision, clockMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PeerHello, daemon, failureDomain, incarnation, policyVersion, ownsCell, peerAddress, fencingToken, processorShare, ownerAddress, ownerRevision, clockMs, linkMbps, isLoadingCell)
 
 /// The operator's configuration document, for a daemon that cannot read it from the store.
 struct PeerPolicy {
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -1,4 +1,5 @@
 #include "Core.h"
+#include "StoreReads.h"
 #include "VmRegistry.h"
 
 #include <algorithm>
@@ -10,69 +11,6 @@
 /// that was not applied.
 static const std::string headKey = "heatherchute/head";
 
-/// Maximum duration of a watch; bounds the staleness caused by a silent connection.
-static constexpr Milliseconds watchTimeout { 900 };
-/// Delays before a failed store request is retried.
-static constexpr Milliseconds minRetryDelay { 50 };
-static constexpr Milliseconds maxRetryDelay { 400 };
-
-namespace {
-
-    /// Delay before the next retry, doubled with each consecutive failure.
-    class Backoff {
-    public:
-        Milliseconds next()
-        {
-            const auto delay = m_next;
-            m_next = std::min(m_next * 2, maxRetryDelay);
-            return delay;
-        }
-        void reset() { m_next = minRetryDelay; }
-
-    private:
-        Milliseconds m_next = minRetryDelay;
-    };
-
-} // namespace
-
-/// Gets all items under a prefix if `isComplete`, else those that were written or deleted since.
-using ItemHandler = std::function<void(const std::vector<platform::StoreItem>& items, bool isComplete)>;
-
-/// Watches a prefix of the store until `isEnded` returns true. Waits for `pause` after each change, so
-/// that the changes of that time arrive together.
-static void followPrefix(NodeOutbound& outbound, const std::string& prefix, const std::string& what, Milliseconds pause, const std::function<bool()>& isEnded, const ItemHandler& onItems)
-{
-    Backoff backoff;
-    bool isLost = false;
-    const auto logTransition = [&](bool lost) {
-        if (lost != isLost)
-            logEvent(lost ? LogLevel::Warning : LogLevel::Info, lost ? "store_lost" : "store_regained", { { "reading", what } });
-        isLost = lost;
-    };
-    while (!isEnded()) {
-        const auto list = outbound.store().list(prefix);
-        logTransition(!list);
-        if (!list) {
-            outbound.sleep(backoff.next());
-            continue;
-        }
-        backoff.reset();
-        auto revision = list.value().revision;
-        onItems(list.value().items, true);
-        while (!isEnded()) {
-            const auto watched = outbound.store().watch(prefix, revision, watchTimeout);
-            if (watched.outcome != platform::WatchOutcome::Events)
-                break;
-            revision = std::max(revision, watched.revision);
-            if (watched.items.empty())
-                continue;
-            onItems(watched.items, false);
-            if (pause.count() > 0)
-                outbound.sleep(pause);
-        }
-    }
-}
-
 /// Returns the latest of the items with this key; null if there is none.
 static const platform::StoreItem* findLatest(const std::vector<platform::StoreItem>& items, const std::string& key)
 {
@@ -83,15 +21,17 @@
 void NodeCore::watchPolicy()
 {
     m_components.outbound->runFiber([this] {
-        followPrefix(
-            *m_components.outbound, platform::operatorConfigurationKey, "policy", Milliseconds(0), [] { return false; }, [this](const auto& items, bool) {
-                const auto* const item = findLatest(items, platform::operatorConfigurationKey);
-                if (!item || item->deleted)
-                    return;
-                auto policy = platform::parseCellPolicy(item->value);
-                if (!policy)
-                    return;
-                m_components.outbound->postToCore([this, text = item->value, policy = std::move(policy.value())]() mutable { adoptPolicy(std::move(text), std::move(policy), "store"); }); });
+        PrefixWatch watch { platform::operatorConfigurationKey, "policy", {}, {} };
+        watch.onItems = [this](const auto& items, bool) {
+            const auto* const item = findLatest(items, platform::operatorConfigurationKey);
+            if (!item || item->deleted)
+                return;
+            auto policy = platform::parseCellPolicy(item->value);
+            if (!policy)
+                return;
+            m_components.outbound->postToCore([this, text = item->value, policy = std::move(policy.value())]() mutable { adoptPolicy(std::move(text), std::move(policy), "store"); });
+        };
+        followPrefix(*m_components.outbound, watch);
     });
 }
 
@@ -112,18 +52,21 @@
 void NodeCore::watchOwner()
 {
     m_components.outbound->runFiber([this] {
-        followPrefix(
-            *m_components.outbound, ownerKey, "owner", Milliseconds(0), [] { return false; }, [this](const auto& items, bool isComplete) {
-                const auto* const item = findLatest(items, ownerKey);
-                if (!item && !isComplete)
-                    return;
-                auto record = item && !item->deleted ? std::optional(parseRecord(*item)) : std::nullopt;
-                m_components.outbound->postToCore([this, record = std::move(record)] {
-                    m_ownerDirectory.onRecord(record);
-                    m_election.onRecord(record, Clock::now());
-                    m_nextDial = TimePoint();
-                    schedulePass();
-                }); });
+        PrefixWatch watch { ownerKey, "owner", {}, {} };
+        watch.onItems = [this](const auto& items, bool isComplete) {
+            const auto* const item = findLatest(items, ownerKey);
+            if (!item && !isComplete)
+                return;
+            auto record = item && !item->deleted ? std::optional(parseRecord(*item)) : std::nullopt;
+            m_components.outbound->postToCore([this, record = std::move(record)] {
+                m_ownerDirectory.onRecord(record);
+                m_election.onRecord(record, Clock::now());
+                m_nextDial = TimePoint();
+                schedulePass();
+            });
+        };
+        watch.onContact = [this] { m_components.outbound->postToCore([this] { m_ownerReadAt = Clock::now(); }); };
+        followPrefix(*m_components.outbound, watch);
     });
 }
 
@@ -223,6 +166,10 @@
 void NodeCore::run(const cell::OwnershipEnded& ended)
 {
     logEvent(LogLevel::Warning, "ownership_ended", { { "why", ended.why }, { "fencing_token", m_election.fencingToken() } });
+    if (!m_scheduler) {
+        logEvent(LogLevel::Warning, "cell_load_ended", { { "why", ended.why }, { "elapsed_ms", m_loadDeadline.elapsed().count() } });
+        m_metrics.count("cell_loads", "given_up");
+    }
     if (m_ownershipEnded)
         m_ownershipEnded->store(true);
     m_scheduler.reset();
@@ -263,93 +210,109 @@
     return result;
 }
 
-namespace {
-
-    /// The cell as the store has it, by key.
-    struct StoredCell {
-        std::uint64_t headRevision = 0;
-        std::map<std::string, std::string> state;
-        std::map<std::string, std::string> records;
-    };
-
-} // namespace
-
-/// Moves the values of a list to `values`; false when the list could not be read.
-static bool takeValues(Result<platform::StoreList> list, std::map<std::string, std::string>& values)
+/// Reads one page of each listing that is incomplete, all at the same time, and adds those that arrived.
+/// Returns false if one of them could not be read.
+static bool readPages(platform::StoreClient& store, CellReading& reading, const std::atomic<bool>& ended)
 {
-    if (!list)
-        return false;
-    for (auto& item : list.value().items)
-        values[item.key] = std::move(item.value);
-    return true;
+    struct PendingPage {
+        CellReading::Listing listing;
+        boost::fibers::future<Result<platform::StorePage>> page;
+    };
+    std::vector<PendingPage> pending;
+    for (const auto listing : CellReading::allListings) {
+        if (!reading.isComplete(listing))
+            pending.push_back({ listing, boost::fibers::async([&store, prefix = CellReading::prefixOf(listing), after = reading.positionOf(listing)] { return store.readPage(prefix, after); }) });
+    }
+    bool isComplete = true;
+    for (auto& [listing, future] : pending) {
+        auto page = future.get();
+        // In a later ownership term the reading belongs to another fiber.
+        if (ended.load())
+            continue;
+        const bool isRead = static_cast<bool>(page);
+        logEvent(isRead ? LogLevel::Info : LogLevel::Warning, "cell_load_page", { { "prefix", CellReading::prefixOf(listing) }, { "read", isRead }, { "bytes", isRead ? page.value().bytes : 0 }, { "items", isRead ? page.value().items.size() : 0 }, { "reason", isRead ? "" : page.error().message() } });
+        if (isRead)
+            reading.addPage(listing, std::move(page.value()));
+        isComplete = isComplete && isRead;
+    }
+    return isComplete;
 }
 
-/// Reads the cell; nullopt when the store cannot be read. The parts are read at the same time: the
-/// claim of this daemon has fenced off all earlier owners, so none of them changes meanwhile.
-static std::optional<StoredCell> readCell(platform::StoreClient& store)
+/// Reads the cell until it is complete or the ownership ends; returns whether it is complete. The claim of
+/// this daemon has fenced off all earlier owners, so that the cell does not change meanwhile.
+static bool readCell(NodeOutbound& outbound, CellReading& reading, const std::atomic<bool>& ended)
 {
-    const auto list = [&store](const std::string& prefix) {
-        return boost::fibers::async([&store, &prefix] { return store.list(prefix); });
-    };
-    auto submissions = list(cell::submissionPrefix);
-    auto progress = list(cell::progressPrefix);
-    auto records = list(cell::stateLogPrefix);
-    const auto head = store.get(headKey);
-    StoredCell stored;
-    const bool hasSubmissions = takeValues(submissions.get(), stored.state);
-    const bool hasProgress = takeValues(progress.get(), stored.state);
-    const bool hasRecords = takeValues(records.get(), stored.records);
-    if (!head || !hasSubmissions || !hasProgress || !hasRecords)
-        return std::nullopt;
-    stored.headRevision = head.value() ? head.value()->revision : 0;
-    return stored;
+    Backoff backoff;
+    bool isBegun = false;
+    while (!ended.load() && !(isBegun && reading.isComplete())) {
+        if (!isBegun) {
+            const auto head = outbound.store().get(headKey);
+            isBegun = static_cast<bool>(head);
+            if (isBegun && !ended.load())
+                reading.begin(head.value() ? head.value()->revision : 0);
+        }
+        if (isBegun && readPages(outbound.store(), reading, ended))
+            backoff.reset();
+        else
+            outbound.sleep(backoff.next());
+    }
+    return !ended.load();
 }
 
 void NodeCore::loadCell()
 {
-    m_components.outbound->runFiber([this, ended = m_ownershipEnded, began = Clock::now()] {
-        Backoff backoff;
-        while (!ended->load()) {
-            auto stored = readCell(m_components.outbound->store());
-            if (!stored) {
-                m_components.outbound->sleep(backoff.next());
-                continue;
-            }
-            const auto readAt = Clock::now();
-            cell::StateLog log({ maxStateWrites });
-            for (const auto& key : log.load(stored->state, stored->records))
-                logEvent(LogLevel::Error, "state_record_unreadable", { { "key", key } });
-            auto jobs = pairJobs(stored->state);
-            m_components.outbound->postToCore([this, ended, headRevision = stored->headRevision, began, readAt, log = std::move(log), jobs = std::move(jobs)]() mutable {
-                if (ended->load())
-                    return;
-                m_stateLog = std::move(log);
-                m_headRevision = headRevision;
-                cell::CellLimits limits;
-                limits.leases = leaseLimits(m_settings);
-                limits.jobRetention = m_settings.jobRetention + Seconds(10);
-                limits.spreadFactor = m_settings.spreadFactor;
-                const auto inheritedLeaseEnd = m_election.predecessorsEnd() + cell::inheritedLease(limits.leases);
-                m_scheduler = std::make_unique<cell::CellDesk>(limits, inheritedLeaseEnd);
-                if (m_policy)
-                    m_scheduler->setPolicy(m_policy);
-                updateAdvisers();
-                m_scheduler->load(jobs, now());
-                if (m_isRegistryKnown)
-                    applyRegistry();
-                logEvent(LogLevel::Info, "cell_loaded", { { "jobs", jobs.size() }, { "log_records", m_stateLog.records() }, { "read_ms", std::chrono::duration_cast<Milliseconds>(readAt - began).count() }, { "took_ms", std::chrono::duration_cast<Milliseconds>(Clock::now() - began).count() } });
-                m_ownedSince = Clock::now();
-                for (auto& [link, peer] : m_peers) {
-                    if (peer.isOpen)
-                        sendHello(link, peer);
-                }
-                schedulePass();
-            });
+    m_loadDeadline.begin(Clock::now());
+    logEvent(LogLevel::Info, "cell_load_began", { { "fencing_token", m_election.fencingToken() }, { "processor_share", m_settings.processorShare }, { "link_mbps", m_settings.linkMbps } });
+    m_components.outbound->runFiber([this, ended = m_ownershipEnded, reading = m_reading, began = Clock::now()] {
+        if (!readCell(*m_components.outbound, *reading, *ended))
             return;
-        }
+        const auto readAt = Clock::now();
+        cell::StateLog log({ maxStateWrites });
+        for (const auto& key : log.load(reading->state(), reading->records()))
+            logEvent(LogLevel::Error, "state_record_unreadable", { { "key", key } });
+        auto jobs = pairJobs(reading->state());
+        const auto milliseconds = [](Duration time) { return std::chrono::duration_cast<Milliseconds>(time).count(); };
+        Json load { { "jobs", jobs.size() }, { "log_records", log.records() }, { "pages", reading->pages() }, { "bytes", reading->bytes() }, { "read_ms", milliseconds(readAt - began) }, { "decode_ms", milliseconds(Clock::now() - readAt) } };
+        const auto headRevision = reading->headRevision();
+        *reading = {};
+        m_components.outbound->postToCore([this, ended, headRevision, log = std::move(log), jobs = std::move(jobs), load = std::move(load)]() mutable {
+            if (ended->load())
+                return;
+            m_headRevision = headRevision;
+            adoptCell(std::move(log), jobs, std::move(load));
+        });
     });
 }
 
+void NodeCore::adoptCell(cell::StateLog log, const std::vector<cell::StoredJob>& jobs, Json load)
+{
+    m_stateLog = std::move(log);
+    cell::CellLimits limits;
+    limits.leases = leaseLimits(m_settings);
+    limits.jobRetention = m_settings.jobRetention + Seconds(10);
+    limits.spreadFactor = m_settings.spreadFactor;
+    const auto inheritedLeaseEnd = m_election.predecessorsEnd() + cell::inheritedLease(limits.leases);
+    const auto began = Clock::now();
+    m_scheduler = std::make_unique<cell::CellDesk>(limits, inheritedLeaseEnd);
+    if (m_policy)
+        m_scheduler->setPolicy(m_policy);
+    updateAdvisers();
+    m_scheduler->load(jobs, now());
+    if (m_isRegistryKnown)
+        applyRegistry();
+    m_loadDeadline.onLoaded();
+    load["apply_ms"] = std::chrono::duration_cast<Milliseconds>(Clock::now() - began).count();
+    load["took_ms"] = std::chrono::duration_cast<Milliseconds>(Clock::now() - m_ownedSince).count();
+    logEvent(LogLevel::Info, "cell_loaded", std::move(load));
+    m_metrics.count("cell_loads", "loaded");
+    m_ownedSince = Clock::now();
+    for (auto& [link, peer] : m_peers) {
+        if (peer.isOpen)
+            sendHello(link, peer);
+    }
+    schedulePass();
+}
+
 void NodeCore::applyRegistry()
 {
     std::vector<cell::VmReport> reports;
@@ -365,19 +328,21 @@
     constexpr Milliseconds registryPause { 100 };
     m_components.outbound->runFiber([this, ended = m_ownershipEnded, registryPause] {
         VmRegistry registry;
-        followPrefix(
-            *m_components.outbound, platform::vmRegistryPrefix, "registry", registryPause, [ended] { return ended->load(); }, [this, ended, &registry](const auto& items, bool isComplete) {
-                if (!registry.apply(items, isComplete) && !isComplete)
+        PrefixWatch watch { platform::vmRegistryPrefix, "registry", {}, {}, registryPause, [ended] { return ended->load(); } };
+        watch.onItems = [this, ended, &registry](const auto& items, bool isComplete) {
+            if (!registry.apply(items, isComplete) && !isComplete)
+                return;
+            m_components.outbound->postToCore([this, ended, reports = registry.reports()]() mutable {
+                if (ended->load())
                     return;
-                m_components.outbound->postToCore([this, ended, reports = registry.reports()]() mutable {
-                    if (ended->load())
-                        return;
-                    m_registry = std::move(reports);
-                    m_isRegistryKnown = true;
-                    if (m_scheduler)
-                        applyRegistry();
-                    schedulePass();
-                }); });
+                m_registry = std::move(reports);
+                m_isRegistryKnown = true;
+                if (m_scheduler)
+                    applyRegistry();
+                schedulePass();
+            });
+        };
+        followPrefix(*m_components.outbound, watch);
     });
 }
 
--- a/lib/Node/OwnerContact.cpp
+++ b/lib/Node/OwnerContact.cpp
@@ -47,6 +47,14 @@
     return !contact.isConfirmed && contact.peers * 2 < contact.peersAtRenewal;
 }
 
+Seconds retryAfterAbsence(Duration absence, const std::string& job)
+{
+    constexpr Seconds shortest { 1 };
+    constexpr Seconds longest { 5 };
+    constexpr std::uint64_t spread = 2;
+    return std::clamp(std::chrono::ceil<Seconds>(absence), shortest, longest) + Seconds(stableHash(job) % spread);
+}
+
 RequestExpiry expiryOf(const UnansweredRequest& request, bool isCutOff, TimePoint now)
 {
     const bool isOwnerWaitOver = !request.wasSentToOwner && now >= request.arrivedAt + maxOwnerWait;
--- a/lib/Node/OwnerContact.h
+++ b/lib/Node/OwnerContact.h
@@ -80,6 +80,11 @@
 /// serves the others. While the store is away for all daemons, its owner still answers queries.
 bool isOwnerIsolated(const OwnerContact& contact);
 
+/// Returns when callers should try again while no daemon can serve: the absence so far, as a replacement
+/// that has not come yet is expected to take about as long again. Varies with the job, so that callers do not
+/// return at the same moment.
+Seconds retryAfterAbsence(Duration absence, const std::string& job);
+
 RequestExpiry expiryOf(const UnansweredRequest& request, bool isCutOff, TimePoint now);
 
 } // namespace heatherchute
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -41,6 +41,17 @@
     return link != 0 && isHeard(m_peers.at(link));
 }
 
+bool NodeCore::isOwnerAbsentForAll() const
+{
+    /// Two watches of the owner record without a response, and a margin.
+    constexpr Milliseconds maxRecordAge { 2500 };
+    if (Clock::now() - m_ownerReadAt > maxRecordAge)
+        return false;
+    if (isLoadingCell() || m_ownerDirectory.address().empty())
+        return true;
+    return std::any_of(m_peers.begin(), m_peers.end(), [](const auto& entry) { return isHeard(entry.second) && entry.second.hello.isLoadingCell; });
+}
+
 std::size_t NodeCore::peersHeard() const
 {
     return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [](const auto& entry) { return isHeard(entry.second); }));
@@ -64,7 +75,7 @@
 void NodeCore::sendHello(LinkId link, Peer& peer)
 {
     peer.lastHello = Clock::now();
-    PeerHello hello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_scheduler && !isIsolatedOwner(), addressText(m_settings.advertisePeers), m_scheduler ? m_election.fencingToken() : 0, m_settings.processorShare, {}, 0, bootTimeMs() };
+    PeerHello hello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_scheduler && !isIsolatedOwner(), addressText(m_settings.advertisePeers), m_scheduler ? m_election.fencingToken() : 0, m_settings.processorShare, {}, 0, bootTimeMs(), m_settings.linkMbps, isLoadingCell() };
     if (const auto& record = m_election.record()) {
         hello.ownerAddress = record->peerAddress;
         hello.ownerRevision = record->revision;
--- a/unittests/Http/HttpTest.cpp
+++ b/unittests/Http/HttpTest.cpp
@@ -1,7 +1,10 @@
 #include "heatherchute/Http.h"
 
+#include <array>
+#include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <future>
+#include <thread>
 
 namespace heatherchute {
 
@@ -77,8 +80,69 @@
         std::unique_ptr<HttpClient> client = std::make_unique<HttpClient>(clientLoop);
     };
 
+    /// Answers one request in parts, with a pause before each, as a slow link delivers a large response.
+    class SlowServer {
+    public:
+        SlowServer(std::size_t parts, Milliseconds pause)
+            : m_thread([this, parts, pause] { serve(parts, pause); })
+        {
+        }
+        SlowServer(const SlowServer&) = delete;
+        SlowServer& operator=(const SlowServer&) = delete;
+        ~SlowServer()
+        {
+            m_isClosing = true;
+            m_thread.join();
+        }
+
+        std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+    private:
+        void serve(std::size_t parts, Milliseconds pause)
+        {
+            using boost::asio::buffer;
+            boost::asio::ip::tcp::socket socket(m_io);
+            m_acceptor.accept(socket);
+            std::array<char, 4096> request {};
+            socket.read_some(buffer(request));
+            boost::system::error_code ignored;
+            boost::asio::write(socket, buffer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(10 * parts) + "\r\n\r\n"), ignored);
+            for (std::size_t i = 0; i < parts && !m_isClosing; ++i) {
+                std::this_thread::sleep_for(pause);
+                boost::asio::write(socket, buffer(std::string(10, 'x')), ignored);
+            }
+        }
+
+        boost::asio::io_context m_io;
+        boost::asio::ip::tcp::acceptor m_acceptor { m_io, { boost::asio::ip::make_address("127.0.0.1"), 0 } };
+        std::atomic<bool> m_isClosing = false;
+        std::thread m_thread;
+    };
+
 } // namespace
 
+TEST_CASE("a response that keeps arriving is not cut off by a deadline", "[http]")
+{
+    // A fixed deadline for the whole response made large responses unreadable on slow links.
+    ClientServerPair pair([](HttpRequest&&) { return HttpResponse {}; });
+    const auto read = [&pair](std::size_t parts, Milliseconds pause, const HttpCallOptions& options) {
+        SlowServer server(parts, pause);
+        Result<HttpResponse> result = ErrorKind::Internal;
+        pair.run([&] { result = pair.client->call({ "127.0.0.1", server.port() }, {}, options); });
+        return result;
+    };
+    const HttpCallOptions byProgress { .timeout = Milliseconds(400), .stallTimeout = Milliseconds(400) };
+    const auto slow = read(8, Milliseconds(100), byProgress);
+    REQUIRE(slow);
+    CHECK(slow.value().body.size() == 80);
+    CHECK_FALSE(read(8, Milliseconds(100), { .timeout = Milliseconds(400) }));
+    // Neither a silent connection nor a trickle is waited for without a bound.
+    CHECK_FALSE(read(2, Milliseconds(1500), byProgress));
+    auto bounded = byProgress;
+    bounded.maxReadTime = Milliseconds(500);
+    CHECK_FALSE(read(20, Milliseconds(100), bounded));
+}
+
 TEST_CASE("requests and responses are transferred completely", "[http]")
 {
     ClientServerPair pair([](HttpRequest&& request) {
--- a/unittests/Node/OwnerContactTest.cpp
+++ b/unittests/Node/OwnerContactTest.cpp
@@ -1,6 +1,7 @@
 #include "../../lib/Node/OwnerContact.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace heatherchute;
 
@@ -15,6 +16,21 @@
 
 } // namespace
 
+TEST_CASE("Callers are told to come back when a successor is expected, and not all at once")
+{
+    // All were told the same three seconds, however long the cell had been without an owner.
+    std::set<std::int64_t> times;
+    for (int i = 0; i < 50; ++i) {
+        const auto soon = retryAfterAbsence(Milliseconds(1600), "job" + std::to_string(i));
+        CHECK(soon >= Seconds(2));
+        CHECK(soon <= Seconds(3));
+        times.insert(soon.count());
+        CHECK(retryAfterAbsence(Seconds(40), "job" + std::to_string(i)) <= Seconds(6));
+        CHECK(retryAfterAbsence(Milliseconds(0), "job") >= Seconds(1));
+    }
+    CHECK(times.size() > 1);
+}
+
 TEST_CASE("A daemon without the store learns the owner's address from others")
 {
     OwnerDirectory directory;
--- a/unittests/Platform/AdapterTest.cpp
+++ b/unittests/Platform/AdapterTest.cpp
@@ -26,6 +26,19 @@
     CHECK_FALSE(parseCellPolicy(R"({"version":"seven"})"));
 }
 
+TEST_CASE("A page that does not tell which items exist is an error")
+{
+    const auto page = parsePage(Json::parse(R"({"items":[{"key":"a","value":"eA==","revision":4}],"has_more":true,"at_rev":9})"));
+    REQUIRE(page);
+    CHECK(page->items.at(0).value == "x");
+    CHECK(page->hasMore);
+    CHECK(page->revision == 9);
+    CHECK(parsePage(Json::parse(R"({"items":[],"has_more":false,"at_rev":9})")));
+    // Each of these was once taken for the end of the list, so that jobs counted as unknown.
+    for (const auto* const unreadable : { "{}", R"({"items":5})", R"({"items":[5],"has_more":false})", R"({"items":[],"has_more":true})" })
+        CHECK_FALSE(parsePage(Json::parse(unreadable)));
+}
+
 TEST_CASE("Invalid VM registry entries are rejected with a reason")
 {
     const std::string valid = R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,
