Operators evacuate failure domains; cold VMs get work last

Cause: nothing followed the operator's requests to evacuate a failure domain, so runs went on starting there.

Ruled out: stopping what runs there, since tasks take seconds and a stopped run is lost or restored elsewhere at a cost; a watch by every daemon, since only the owner places and the commands of delegates are bounded by their age.

Change: the owner follows the prefix of evacuations where the settings have evacuate_ms, and places nothing before it has listed it once. VMs of an evacuated domain are not usable for placements, reservations and advice; a start without a response there is stopped instead of repeated, as on a draining VM. Log events and gauges show it. VMs that the registry reports as cold come last in the order of placement.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -27,6 +27,8 @@
     Milliseconds earlyStartTolerance { 100 };
     /// Slowdown of a task outside its preferred rack, and of a same-rack step spread over several racks.
     double spreadFactor = 2;
+    /// Operators may evacuate failure domains. Nothing is placed before the evacuated domains are known.
+    bool hasEvacuations = false;
 };
 
 /// Current time: the steady clock for all arithmetic, Unix milliseconds only for due times.
@@ -155,6 +157,8 @@
     void setTenured(bool isConfirmed) { m_isOwnershipConfirmed = isConfirmed; }
     /// Sets the current content of the VM registry. VMs that are no longer in it get no more runs.
     void setVms(const std::vector<VmReport>& reports, Now now);
+    /// Sets the failure domains on whose VMs no run may start. What runs there ends there.
+    void setEvacuatedDomains(std::set<std::string> domains, Now now);
     /// Sets the daemons that can send advice requests.
     void setAdvisers(const std::vector<std::uint64_t>& daemons) { m_adviceLanes.setDaemons(daemons); }
     /// Restores the jobs that the store held at the start of the ownership term.
@@ -188,6 +192,8 @@
         std::size_t placements = 0;
         std::size_t vms = 0;
         std::size_t reachableVms = 0;
+        std::size_t evacuatedDomains = 0;
+        std::size_t placementsInEvacuatedDomains = 0;
     };
     Figures figures() const;
     /// Returns the number of VMs in the registry and how many of them respond.
@@ -313,6 +319,13 @@
     bool isUsable(const Vm& vm, Now now) const;
     void quarantine(Vm& vm, Milliseconds duration, std::string_view reason, Now now);
 
+    // Evacuation.cpp
+    bool areEvacuationsKnown() const { return m_evacuatedDomains || !m_limits.hasEvacuations; }
+    bool isEvacuated(const Vm& vm) const { return m_evacuatedDomains && m_evacuatedDomains->contains(vm.report.failureDomain); }
+    std::map<std::string, std::size_t> placementsInEvacuatedDomains() const;
+    /// Reports the evacuated domains in which nothing runs any more.
+    void reportEmptiedDomains(Now now);
+
     // Placing.cpp
     void runPlacementPass(Now now);
     void requestPlacementPass() { m_placementRequested = true; }
@@ -364,6 +377,11 @@
     /// Running mean of the share of requested VMs that the advice service permits, by queue.
     std::map<std::string, double> m_permittedShare;
     AdviceLanes m_adviceLanes;
+    /// Unset until the operators' evacuations are known.
+    std::optional<std::set<std::string>> m_evacuatedDomains;
+    /// Evacuated domains that have been reported as emptied.
+    std::set<std::string> m_emptiedDomains;
+    TimePoint m_nextEmptiedCheckAt;
     std::map<std::string, Job*> m_activeJobs;
     std::uint64_t m_nextSequence = 1;
     std::set<std::string> m_unreadableJobs;
--- a/include/heatherchute/CellState.h
+++ b/include/heatherchute/CellState.h
@@ -152,6 +152,8 @@
     /// Stable hash of the VM's id.
     std::uint64_t idHash = 0;
     bool listed = false;
+    /// Until when the VM is slow after its start, by the registry.
+    TimePoint coldUntil;
     std::int64_t incarnation = 0;
     Room used;
     /// Resources reserved for gangs whose tickets are being requested, as of the current placement
--- a/include/heatherchute/Node.h
+++ b/include/heatherchute/Node.h
@@ -36,6 +36,9 @@
     double processorShare = 1;
     /// Bandwidth of the daemon's link in Mbit/s; zero if unknown.
     double linkMbps = 0;
+    /// Time after which an evacuation by the operator must be in force; zero if there are no evacuations
+    /// here, so that the store is not asked for any.
+    Milliseconds evacuationBound { 0 };
 };
 
 /// Settings together with the errors found in them; the settings are usable when there are none.
--- a/lib/Cell/Jobs.cpp
+++ b/lib/Cell/Jobs.cpp
@@ -262,7 +262,9 @@
 
 CellDesk::Figures CellDesk::figures() const
 {
-    Figures figures { m_jobs.size(), 0, m_placements.size(), 0, 0 };
+    Figures figures;
+    figures.jobs = m_jobs.size();
+    figures.placements = m_placements.size();
     for (const auto& [id, job] : m_activeJobs) {
         for (const auto& [number, occurrence] : job->occurrences) {
             for (const auto& step : occurrence.steps)
@@ -270,6 +272,10 @@
         }
     }
     std::tie(figures.vms, figures.reachableVms) = reach();
+    for (const auto& [domain, placements] : placementsInEvacuatedDomains()) {
+        ++figures.evacuatedDomains;
+        figures.placementsInEvacuatedDomains += placements;
+    }
     return figures;
 }
 
@@ -296,6 +302,7 @@
         expireUnresponsiveVms(now);
         sendHeartbeats(now);
     }
+    reportEmptiedDomains(now);
     removeExpiredJobs(now);
     rejectUncommittedSubmissions(now);
     flush(now);
--- a/lib/Cell/Placing.cpp
+++ b/lib/Cell/Placing.cpp
@@ -213,13 +213,14 @@
 }
 
 /// Best fit: VMs in the preferred rack come first, then those with the least free processor
-/// capacity.
-static void sortByFit(std::vector<Vm*>& vms, const StepSpec& spec)
+/// capacity. Cold VMs come last: a gang runs at the pace of its slowest member, and the work that waits when
+/// a failure domain comes back must not all go to VMs that are still slow.
+static void sortByFit(std::vector<Vm*>& vms, const StepSpec& spec, Now now)
 {
-    std::sort(vms.begin(), vms.end(), [&spec](const Vm* left, const Vm* right) {
-        const auto rank = [&spec](const Vm* vm) {
+    std::sort(vms.begin(), vms.end(), [&spec, now](const Vm* left, const Vm* right) {
+        const auto rank = [&spec, now](const Vm* vm) {
             const bool isNear = spec.preferredRack.empty() || vm->report.rack == spec.preferredRack;
-            return std::make_tuple(!isNear, vm->report.capacity.cpuMilli - vm->used.cpuMilli, vm->report.id);
+            return std::make_tuple(now.steady < vm->coldUntil, !isNear, vm->report.capacity.cpuMilli - vm->used.cpuMilli, vm->report.id);
         };
         return rank(left) < rank(right);
     });
@@ -255,7 +256,7 @@
     auto vms = fittingVms(ready, service, now);
     if (vms.empty())
         return;
-    sortByFit(vms, *ready.spec);
+    sortByFit(vms, *ready.spec, now);
     const bool mayUseReserve = ready.spec->usesIdleRoom || !ready.queue || ready.queue->priority == 0;
     const auto keepsReserve = [&](std::size_t tasks) {
         return mayUseReserve || service.free.cpuMilli - static_cast<std::int64_t>(tasks) * ready.spec->need.cpuMilli >= service.reservedCpuMilli;
@@ -375,7 +376,7 @@
     /// that without the extension a long backlog would delay the daemon's commands.
     constexpr Milliseconds passPause { 10 };
     constexpr std::chrono::microseconds passPausePerStep { 100 };
-    if (!m_policy || now.steady < m_nextPlacementAt || (!m_placementRequested && now.steady < m_nextPlacementAt + idlePassInterval))
+    if (!m_policy || !areEvacuationsKnown() || now.steady < m_nextPlacementAt || (!m_placementRequested && now.steady < m_nextPlacementAt + idlePassInterval))
         return;
     m_placementRequested = false;
     auto steps = readySteps(now);
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -24,7 +24,7 @@
 {
     /// A VM without a response for longer than this gets no new runs.
     constexpr Milliseconds maxResponseAge { 2600 };
-    return vm.listed && !vm.report.draining && vm.fenced && vm.isIncarnationKnown && vm.missedHeartbeats == 0 && vm.clockMs > 0 && now.steady >= vm.quarantinedUntil && now.steady - vm.lastResponseAt < maxResponseAge;
+    return vm.listed && !vm.report.draining && !isEvacuated(vm) && vm.fenced && vm.isIncarnationKnown && vm.missedHeartbeats == 0 && vm.clockMs > 0 && now.steady >= vm.quarantinedUntil && now.steady - vm.lastResponseAt < maxResponseAge;
 }
 
 void CellDesk::quarantine(Vm& vm, Milliseconds duration, std::string_view reason, Now now)
@@ -42,6 +42,8 @@
         const bool isNewIncarnation = vm.report.incarnation != report.incarnation;
         if (isNewIncarnation || vm.report.draining != report.draining)
             m_actions.emplace_back(Decision { "vm_reported", { { "vm", report.id }, { "incarnation", report.incarnation }, { "draining", report.draining }, { "service", report.service } } });
+        if (vm.report != report)
+            vm.coldUntil = now.steady + report.warmup;
         vm.report = report;
         vm.idHash = stableHash(report.id);
         vm.listed = true;
@@ -309,7 +311,7 @@
             lost.emplace_back(id, "vm_unusable");
         else if (noCommandSent && now.steady >= placement.ticketExpiresAt)
             lost.emplace_back(id, "ticket_lapsed");
-        else if (vm.report.draining || !vm.listed)
+        else if (vm.report.draining || !vm.listed || isEvacuated(vm))
             placement.stopRequested = true;
         else if (m_isOwnershipConfirmed && vm.isIncarnationKnown)
             sendStart(placement, vm, now);
--- a/lib/Node/Core.cpp
+++ b/lib/Node/Core.cpp
@@ -199,6 +199,8 @@
         m_metrics.gauge("placements", static_cast<double>(statistics.placements));
         m_metrics.gauge("vms", static_cast<double>(statistics.vms));
         m_metrics.gauge("reachable_vms", static_cast<double>(statistics.reachableVms));
+        m_metrics.gauge("evacuated_domains", static_cast<double>(statistics.evacuatedDomains));
+        m_metrics.gauge("placements_in_evacuated_domains", static_cast<double>(statistics.placementsInEvacuatedDomains));
     }
     m_metrics.gauge("owns_cell", m_scheduler ? 1 : 0);
     m_metrics.gauge("cell_load_seconds", isLoadingCell() ? static_cast<double>(m_loadDeadline.elapsed().count()) / 1000 : 0);
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -177,6 +177,8 @@
     /// Returns true if, by the store and the other daemons, no daemon can serve calls now.
     bool isOwnerAbsentForAll() const;
     void watchRegistry();
+    /// Follows the operator's evacuations during this ownership term.
+    void watchEvacuations();
     void applyRegistry();
     void watchPolicy();
     void watchOwner();
@@ -237,6 +239,8 @@
     cell::StateLog m_stateLog;
     std::map<std::string, cell::VmReport> m_registry;
     bool m_isRegistryKnown = false;
+    /// Failure domains that the operator has evacuated; unset until the store has told them in this term.
+    std::optional<std::set<std::string>> m_evacuatedDomains;
 
     std::map<LinkId, Peer> m_peers;
     TimePoint m_nextDial;
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -159,8 +159,11 @@
     m_ownershipEnded = std::make_shared<std::atomic<bool>>(false);
     m_registry.clear();
     m_isRegistryKnown = false;
+    m_evacuatedDomains.reset();
     loadCell();
     watchRegistry();
+    if (m_settings.evacuationBound.count() > 0)
+        watchEvacuations();
 }
 
 void NodeCore::run(const cell::OwnershipEnded& ended)
@@ -291,6 +294,7 @@
     limits.leases = leaseLimits(m_settings);
     limits.jobRetention = m_settings.jobRetention + Seconds(10);
     limits.spreadFactor = m_settings.spreadFactor;
+    limits.hasEvacuations = m_settings.evacuationBound.count() > 0;
     const auto inheritedLeaseEnd = m_election.predecessorsEnd() + cell::inheritedLease(limits.leases);
     const auto began = Clock::now();
     m_scheduler = std::make_unique<cell::CellDesk>(limits, inheritedLeaseEnd);
@@ -300,6 +304,8 @@
     m_scheduler->load(jobs, now());
     if (m_isRegistryKnown)
         applyRegistry();
+    if (m_evacuatedDomains)
+        m_scheduler->setEvacuatedDomains(*m_evacuatedDomains, now());
     m_loadDeadline.onLoaded();
     load["apply_ms"] = std::chrono::duration_cast<Milliseconds>(Clock::now() - began).count();
     load["took_ms"] = std::chrono::duration_cast<Milliseconds>(Clock::now() - m_ownedSince).count();
@@ -346,6 +352,38 @@
     });
 }
 
+void NodeCore::watchEvacuations()
+{
+    m_components.outbound->runFiber([this, ended = m_ownershipEnded] {
+        std::set<std::string> domains;
+        PrefixWatch watch { platform::evacuationPrefix, "evacuations", {}, {}, Milliseconds(0), [ended] { return ended->load(); } };
+        // While the store does not respond, the domains that it told of last remain evacuated.
+        watch.onItems = [this, ended, &domains](const auto& items, bool isComplete) {
+            const auto before = std::exchange(domains, isComplete ? std::set<std::string>() : domains);
+            for (const auto& item : items) {
+                auto domain = platform::evacuatedDomainOfKey(item.key);
+                if (item.deleted)
+                    domains.erase(domain);
+                else
+                    domains.insert(std::move(domain));
+            }
+            for (const auto& domain : domains) {
+                if (!before.contains(domain))
+                    logEvent(LogLevel::Info, "evacuation_asked", { { "failure_domain", domain } });
+            }
+            m_components.outbound->postToCore([this, ended, domains] {
+                if (ended->load())
+                    return;
+                m_evacuatedDomains = domains;
+                if (m_scheduler)
+                    m_scheduler->setEvacuatedDomains(domains, now());
+                schedulePass();
+            });
+        };
+        followPrefix(*m_components.outbound, watch);
+    });
+}
+
 /// Retries one transaction of a commit until the store confirms it, and returns its revision;
 /// nullopt when the ownership is lost.
 static std::optional<std::uint64_t> commitPart(NodeOutbound& outbound, const platform::StoreTransaction& transaction, const std::string& nonce, const std::atomic<bool>& ended)
--- a/lib/Node/Settings.cpp
+++ b/lib/Node/Settings.cpp
@@ -45,6 +45,7 @@
     settings.jobRetention = Seconds(reader.integerOr("job_retention_s", 1, 86'400, 120));
     settings.spreadFactor = reader.numberOr("spread_factor", 1, 100, 2);
     settings.processorShare = reader.numberOr("processor_share", 0.001, 1024, 1);
+    settings.evacuationBound = Milliseconds(reader.integerOr("evacuate_ms", 0, tenMinutesMs, 0));
     settings.linkMbps = reader.numberOr("link_mbps", 0, 1'000'000, 0);
     return checked;
 }
--- a/unittests/Cell/TestCell.h
+++ b/unittests/Cell/TestCell.h
@@ -37,8 +37,9 @@
 /// `running` and `finished`. Start and stop commands are recorded and left to the test.
 class TestCell {
 public:
-    explicit TestCell(CellPolicyPointer policy, std::size_t vms = 1)
-        : m_vms(vms)
+    explicit TestCell(CellPolicyPointer policy, std::size_t vms = 1, CellLimits cellLimits = {})
+        : limits(cellLimits)
+        , m_vms(vms)
     {
         begin(std::move(policy));
     }
@@ -109,7 +110,10 @@
         return phase ? std::string(jobPhaseName(*phase)) : "unknown";
     }
 
+    CellLimits limits;
     std::unique_ptr<CellDesk> desk;
+    /// Time for which the registry shows the VM as cold, by id; updateRegistry() reports it.
+    std::map<std::string, Milliseconds> warmup;
     Now now { TimePoint(Seconds(100)), 1'700'000'000'000 };
     std::vector<RunningTask> running;
     std::vector<FinishedTask> finished;
@@ -117,6 +121,8 @@
     std::size_t maxListedEnds = 500;
     std::vector<StartRun> starts;
     std::vector<StopRun> stops;
+    /// Names of the log events so far.
+    std::vector<std::string> events;
     /// While set, heartbeats to "vm-0" get no response.
     bool isVmSilent = false;
     /// While set, commits get no response.
@@ -127,7 +133,7 @@
 
     void begin(CellPolicyPointer policy)
     {
-        desk = std::make_unique<CellDesk>(CellLimits(), now.steady + Seconds(9));
+        desk = std::make_unique<CellDesk>(limits, now.steady + Seconds(9));
         if (policy)
             desk->setPolicy(std::move(policy));
         std::map<std::string, StoredJob> jobs;
@@ -152,6 +158,8 @@
             report.id = "vm-" + std::to_string(i);
             report.service = "workers";
             report.address = { "127.0.0.1", 1 };
+            report.failureDomain = "domain-" + std::to_string(i);
+            report.warmup = warmup.contains(report.id) ? warmup.at(report.id) : Milliseconds(0);
             report.capacity = { 64'000, 262'144, 0 };
             report.incarnation = i == 0 ? m_incarnation : 1;
             reports.push_back(report);
@@ -203,6 +211,8 @@
                 starts.push_back(*start);
             } else if (const auto* const stop = std::get_if<StopRun>(&action)) {
                 stops.push_back(*stop);
+            } else if (const auto* const decision = std::get_if<Decision>(&action)) {
+                events.emplace_back(decision->event);
             } else if (const auto* const beat = std::get_if<BeatVm>(&action)) {
                 answerHeartbeat(*beat);
             }
--- a/unittests/Platform/AdapterTest.cpp
+++ b/unittests/Platform/AdapterTest.cpp
@@ -26,6 +26,12 @@
     CHECK_FALSE(parseCellPolicy(R"({"version":"seven"})"));
 }
 
+TEST_CASE("Evacuated failure domains are named by their keys")
+{
+    CHECK(evacuatedDomainOfKey("op/evacuate/zone-a") == "zone-a");
+    CHECK(evacuatedDomainOfKey("op/evacuate/").empty());
+}
+
 TEST_CASE("A page that does not tell which items exist is an error")
 {
     const auto page = parsePage(Json::parse(R"({"items":[{"key":"a","value":"eA==","revision":4}],"has_more":true,"at_rev":9})"));
