Soak: links of limited bandwidth and cells with many stored jobs

Cause: all links and stand-in stores of the tests were fast, so that no test found an owner that never loads the cell.

Change: all connections of a daemon can share a link of limited bandwidth, the cell can begin with stored jobs, and pages of the store have 500 items or 1 MB then. Three scenarios: every link is slow; two daemons of six have fast links; a daemon that cannot read the cell wins the claim.

--- a/test/cell/cell.py
+++ b/test/cell/cell.py
@@ -12,7 +12,7 @@
 import tempfile
 import time
 
-from loopback import HttpServer, Proxy
+from loopback import HttpServer, Link, Proxy
 from store import Store
 from vms import Advice, Gangs, Vm
 
@@ -35,18 +35,34 @@
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+def encode_text(text):
+    """A CBOR text string; enough of CBOR for stored jobs."""
+    data = text.encode()
+    head = bytes([0x60 + len(data)]) if len(data) < 24 else bytes([0x78, len(data)]) if len(data) < 256 else b"\x79" + len(data).to_bytes(2, "big")
+    return head + data
+
+
+def encode_ended_job():
+    """The stored progress of a completed job. The daemon ignores the padding, which gives it the size of larger records."""
+    fields = [("phase", b"\x02"), ("queue", encode_text("urgent")), ("team", encode_text("blue")), ("submitted", b"\xf5"),
+              ("padding", encode_text("x" * 600))]
+    return bytes([0xa0 + len(fields)]) + b"".join(encode_text(name) + value for name, value in fields)
+
+
 class Daemon:
     """One process with proxies on its paths: callers, peers and store."""
 
-    def __init__(self, cell, name, zone):
+    def __init__(self, cell, name, zone, link_mbps=0.0):
         self.cell = cell
         self.name = name
         self.zone = zone
+        self.link_mbps = link_mbps
         self.process = None
+        link = Link(link_mbps) if link_mbps else None
         # The port for peers is behind a proxy, so the daemons tell each other the proxy's address.
-        self.peers = Proxy(("127.0.0.1", cell.take_port()))
-        self.callers = Proxy(("127.0.0.1", cell.take_port()))
-        self.store = Proxy(("127.0.0.1", cell.store_server.port))
+        self.peers = Proxy(("127.0.0.1", cell.take_port()), link)
+        self.callers = Proxy(("127.0.0.1", cell.take_port()), link)
+        self.store = Proxy(("127.0.0.1", cell.store_server.port), link)
         self.readiness = ("127.0.0.1", cell.take_port())
         self.planned_stop = None
         self.exit_codes = []
@@ -60,7 +76,8 @@
             "listen_peers": "127.0.0.1:%d" % self.peers.target[1], "advertise_peers": f"127.0.0.1:{self.peers.port}",
             "store": f"127.0.0.1:{self.store.port}",
             "advice": f"127.0.0.1:{self.cell.advice_server.port}",
-            "shortest_store_lease_ms": 1000, "longest_vm_lease_ms": 10000, "grace_s": GRACE_S, "job_retention_s": STATUS_S}
+            "shortest_store_lease_ms": 1000, "longest_vm_lease_ms": 10000, "grace_s": GRACE_S, "job_retention_s": STATUS_S,
+            "processor_share": 0.6 if self.link_mbps else 1.0, "link_mbps": self.link_mbps}
         with open(self.path("json"), "w", encoding="utf-8") as file:
             json.dump(settings, file)
 
@@ -103,11 +120,15 @@
 
 
 class Cell:
-    def __init__(self, build, record, seed, daemons=6, vms=12):
+    def __init__(self, build, record, seed, daemons=6, vms=12, stored_jobs=0, link_mbps=0.0, fast_daemons=0):
         self.build = build
         self.record = record
         self.seed = seed
         self.counts = (daemons, vms)
+        self.stored_jobs = stored_jobs
+        # Bandwidth of the daemons' links but for the first ones, which have more; zero for no limit.
+        self.link_mbps = link_mbps
+        self.fast_daemons = fast_daemons
         self.folder = tempfile.mkdtemp(prefix="heatherchute-cell-")
         self.store = Store(seed)
         self.store_server = HttpServer(self.store.handle)
@@ -149,8 +170,14 @@
             self.vm_proxies[vm.id] = proxy
             vm.come_back()
         self.configure()
+        if self.stored_jobs:
+            self.store.page_items = 500
+            value = base64.b64encode(encode_ended_job()).decode()
+            for number in range(self.stored_jobs):
+                self.store.revision += 1
+                self.store.write(f"heatherchute/progress/{number:016x}", value, 0)
         for number in range(daemons):
-            daemon = Daemon(self, f"daemon-{number}", zones[number % 3])
+            daemon = Daemon(self, f"daemon-{number}", zones[number % 3], self.link_mbps if number >= self.fast_daemons else 0.0)
             await daemon.open()
             self.daemons[daemon.name] = daemon
             daemon.start()
--- a/test/cell/draw.py
+++ b/test/cell/draw.py
@@ -54,7 +54,9 @@
 
 def parse_scenario(lines):
     """The scenario's settings by name, and its faults."""
-    settings, faults = {"load": 8.0, "rate": 8.0, "cancel-early": 0.05, "long": 0.0, "daemons": None, "vms": None}, []
+    settings = {"load": 8.0, "rate": 8.0, "cancel-early": 0.05, "long": 0.0, "daemons": None, "vms": None,
+                "stored-jobs": 0.0, "link-mbps": 0.0, "fast-daemons": 0.0}
+    faults = []
     for line in lines:
         words = line.split("#")[0].split()
         if not words:
--- a/test/cell/loopback.py
+++ b/test/cell/loopback.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 LIMIT = 16 << 20
@@ -79,11 +80,28 @@
             writer.transport.abort()
 
 
+class Link:
+    """A link of limited bandwidth that several proxies share."""
+
+    def __init__(self, mbps):
+        self.mbps = mbps
+        self.free_at = {"up": 0.0, "down": 0.0}
+
+    async def carry(self, direction, size):
+        """Waits until the link has carried that many bytes behind those of others."""
+        now = time.monotonic()
+        began = max(now, self.free_at[direction])
+        self.free_at[direction] = began + size * 8 / (self.mbps * 1e6)
+        await asyncio.sleep(self.free_at[direction] - now)
+
+
 class Proxy:
     """Forwards connections to one address, and harms them when told to."""
 
-    def __init__(self, target):
+    def __init__(self, target, link=None):
         self.target = target
+        self.own_link = link
+        self.link = link
         self.port = 0
         self.server = None
         self.pairs = {}
@@ -127,7 +145,10 @@
     async def pump(self, number, reader, writer, direction):
         try:
             while True:
-                data = await reader.read(65536)
+                # Parts of a tenth of a second at most, so that the connections of one link advance side by side.
+                data = await reader.read(min(4096, int(self.link.mbps * 1e6 / 80)) if self.link else 65536)
+                if self.link:
+                    await self.link.carry(direction, len(data))
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 while direction in self.cut or number in self.silent:
@@ -154,6 +175,7 @@
     def heal(self):
         self.delay = 0.0
         self.cut = set()
+        self.link = self.own_link
 
     async def close(self):
         self.server.close()
--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -6,7 +6,8 @@
 A scenario has a line for each fault: "at SECONDS VERB [TARGET] [for SECONDS]"; "load SECONDS" says
 how long callers send, "rate JOBS" how many a second, "cancel-early SHARE" how many of them cancel
 without waiting for an answer, and "long SHARE" how many jobs run for longer than any lease; "daemons COUNT"
-and "vms COUNT" go before the options. A seed makes such a scenario; the lines of one that fails are printed,
+and "vms COUNT" go before the options. "stored-jobs COUNT" is the number of ended jobs in the store at the beginning, and
+"link-mbps RATE" the bandwidth of all daemons but the first "fast-daemons COUNT". A seed makes such a scenario; the lines of one that fails are printed,
 so that it can be kept as a file.
 """
 
@@ -21,7 +22,7 @@
 
 import cell as deployment
 from draw import draw_scenario, parse_scenario
-from loopback import Channel
+from loopback import Channel, Link
 from promises import CONFIG_S, NEAR_S, Job, Promises
 
 # After the load and the last fault all accepted work must be done within this time. A lease of ten
@@ -267,6 +268,33 @@
         if answer and answer[0] == 200 and "up" in daemon.peers.cut:
             self.promises.broken("a daemon that is cut off leaves rotation", f"{daemon.name} is ready {ROTATION_S} s after the cut")
 
+    def do_thin_link(self, target):
+        """The store's small answers still arrive, so that leases are renewed; large ones do not."""
+        thin = Link(0.06)
+        return self.proxied(target, "store", lambda proxy: setattr(proxy, "link", thin))
+
+    def do_check_owner(self, count):
+        """The cell is owned by one of the first daemons, which have the fast links."""
+        owner = self.cell.owner()
+        allowed = list(self.cell.daemons)[:int(count)]
+        if owner is None or owner.name not in allowed:
+            self.promises.broken("a daemon with a fast link owns the cell", f"{owner.name if owner else 'none'} does")
+
+    def do_check_served(self, target):
+        asyncio.ensure_future(self.check_served(target))
+
+    async def check_served(self, target):
+        """Some daemon accepts a job; callers come back for a while, as they do."""
+        path = f"/urgent/{random.getrandbits(64):016x}"
+        headers = {"Host": "cell.example", "Authorization": "Token " + self.cell.keys["blue"]}
+        for _ in range(8):
+            answer = await Channel(("127.0.0.1", self.daemon(target).callers.port)).call("GET", path, b"", headers)
+            # The owner says that there is no such job; nobody else can.
+            if answer and answer[0] == 410:
+                return
+            await asyncio.sleep(0.5)
+        self.promises.broken("a cell that some daemon can load is served", f"{target} answers {answer[0] if answer else 'nothing'}")
+
     def do_delay_peers(self, target):
         return self.proxied(target, "peers", lambda proxy: setattr(proxy, "delay", 0.2))
 
@@ -388,7 +416,8 @@
 async def play(options, lines, seed):
     settings, faults = parse_scenario(lines)
     promises = Promises(timed=not options.untimed)
-    cell = deployment.Cell(options.build, promises, seed, int(settings["daemons"] or options.daemons), int(settings["vms"] or options.vms))
+    cell = deployment.Cell(options.build, promises, seed, int(settings["daemons"] or options.daemons), int(settings["vms"] or options.vms),
+                           int(settings["stored-jobs"]), settings["link-mbps"], int(settings["fast-daemons"]))
     tasks = []
     try:
         await cell.open()
--- a/test/cell/store.py
+++ b/test/cell/store.py
@@ -21,6 +21,9 @@
         self.mode = "up"
         self.lost = 0.0
         self.delay = 0.0
+        # Largest page of a range in items and bytes of values. The platform's has 500; few jobs fill several small ones.
+        self.page_items = 50
+        self.page_bytes = 1 << 20
         # Calls that read keys with this prefix get no answer.
         self.silent_prefix = None
 
@@ -108,9 +111,14 @@
         return {"lease": self.next_lease, "ttl_ms": int(ttl * 1000)}
 
     def range(self, prefix, after):
-        page = 50
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
-        return {"items": [self.items[key] for key in keys[:page]], "has_more": len(keys) > page, "at_rev": self.revision}
+        page, size = [], 0
+        for key in keys[:self.page_items]:
+            size += len(self.items[key]["value"]) * 3 // 4
+            if page and size > self.page_bytes:
+                break
+            page.append(self.items[key])
+        return {"items": page, "has_more": len(keys) > len(page), "at_rev": self.revision}
 
     async def watch(self, query):
         end = time.monotonic() + int(query["wait_ms"]) / 1000
