--- a/test/cell/cell.py
+++ b/test/cell/cell.py
@@ -18,6 +18,7 @@
 
 # Bounds that the daemons' settings state, in seconds.
 GRACE_S = 6.0
+EVACUATE_S = 5.0
 STATUS_S = 120
 
 # A VM that has been silent for so long leaves the registry.
@@ -77,7 +78,8 @@
             "store": f"127.0.0.1:{self.store.port}",
             "advice": f"127.0.0.1:{self.cell.advice_server.port}",
             "shortest_store_lease_ms": 1000, "longest_vm_lease_ms": 10000, "grace_s": GRACE_S, "job_retention_s": STATUS_S,
-            "processor_share": 0.6 if self.link_mbps else 1.0, "link_mbps": self.link_mbps}
+            "processor_share": 0.6 if self.link_mbps else 1.0, "link_mbps": self.link_mbps,
+            "evacuate_ms": int(EVACUATE_S * 1000)}
         with open(self.path("json"), "w", encoding="utf-8") as file:
             json.dump(settings, file)
 
@@ -222,8 +224,18 @@
         item = self.store.items.get("heatherchute/cell/owner")
         return self.daemons.get(json.loads(base64.b64decode(item["value"]))["daemon"]) if item else None
 
+    def evacuate(self, zone):
+        self.store.put("op/evacuate/" + zone, "{}")
+        self.record.evacuated(zone)
+
+    def take_back(self, zone):
+        self.store.delete("op/evacuate/" + zone)
+        self.record.taken_back(zone)
+
     def heal(self):
         """Ends every fault that lasts."""
+        for zone in list(self.record.evacuations):
+            self.take_back(zone)
         self.store.mode, self.store.lost, self.store.delay = "up", 0.0, 0.0
         for daemon in self.daemons.values():
             daemon.thaw()
--- a/test/cell/draw.py
+++ b/test/cell/draw.py
@@ -4,6 +4,7 @@
 
 FIRST_SEED_OF_LATER_KINDS = 1000
 FIRST_SEED_OF_RESTARTS = 2000
+FIRST_SEED_OF_EVACUATIONS = 3000
 
 
 def draw_scenario(seed):
@@ -23,6 +24,8 @@
     # Earlier seeds keep the scenarios that they have always had.
     if seed >= FIRST_SEED_OF_LATER_KINDS:
         choices += [lambda: f"vm-mute {draw.randint(1, 6)} for 4", lambda: "odd-entries 99 for 4"]
+    if seed >= FIRST_SEED_OF_EVACUATIONS:
+        return draw_evacuations(draw, choices)
     if seed >= FIRST_SEED_OF_RESTARTS:
         return draw_restarts(draw, choices)
     lines, at = draw_series(draw, [lambda: draw.choice(choices)()] * draw.randint(3, 7))
@@ -52,6 +55,18 @@
     return ["vms 24", f"load {at + 2:.1f}", "rate 12", "long 0.2", *lines]
 
 
+def draw_evacuations(draw, choices):
+    """Zones are evacuated and taken back while the owner ends and other things fail."""
+    zones = lambda: draw.choice(["zone-a", "zone-b", "zone-a+zone-c", "zone-a+zone-b+zone-c", "zone-z+zone-b"])
+    evacuate = lambda: f"evacuate {zones()} for {draw.choice([1, 9, 12])}"
+    near = [lambda: "kill owner", lambda: "kill all", lambda: "freeze owner for 3", lambda: "term owner", lambda: "store forget",
+            lambda: f"vm-late {draw.randint(3, 8)} for 4", lambda: f"vm-mute {draw.randint(3, 8)} for 4"]
+    kinds = [evacuate, *draw.choices([evacuate, *near, *near, draw.choice(choices)], k=draw.randint(2, 5))]
+    draw.shuffle(kinds)
+    lines, at = draw_series(draw, kinds)
+    return [f"load {at + 10:.1f}", *lines]
+
+
 def parse_scenario(lines):
     """The scenario's settings by name, and its faults."""
     settings = {"load": 8.0, "rate": 8.0, "cancel-early": 0.05, "long": 0.0, "daemons": None, "vms": None,
--- a/test/cell/promises.py
+++ b/test/cell/promises.py
@@ -3,7 +3,7 @@
 import time
 from collections import defaultdict
 
-from cell import MAX_ATTEMPTS, TEAMS
+from cell import EVACUATE_S, MAX_ATTEMPTS, TEAMS
 
 # Bounds of the promises, in seconds.
 CANCEL_S = 3.0
@@ -52,6 +52,10 @@
         self.use = defaultdict(int)
         self.trouble_until = 0.0
         self.out_of_touch_until = 0.0
+        # Until when the store or the owner's path to it is not as usual.
+        self.store_unsettled_until = 0.0
+        # Zones that the operator has evacuated, and when.
+        self.evacuations = {}
         self.versions = []
         self.counts = defaultdict(int)
 
@@ -66,6 +70,16 @@
         """Daemons stand still for so long; they send what was on its way when they go on."""
         self.out_of_touch_until = max(self.out_of_touch_until, time.monotonic() + seconds + NEAR_S)
 
+    def store_trouble(self, seconds):
+        self.store_unsettled_until = max(self.store_unsettled_until, time.monotonic() + seconds + NEAR_S)
+
+    def evacuated(self, zone):
+        self.evacuations[zone] = time.monotonic()
+        self.counts["evacuations"] += 1
+
+    def taken_back(self, zone):
+        self.evacuations.pop(zone, None)
+
     def is_calm(self):
         return self.timed and time.monotonic() >= self.trouble_until
 
@@ -105,6 +119,9 @@
             self.broken("a job that was cancelled before it was known never starts", f"{text}: cancelled {now - job.cancelled_at:.1f} s before")
         if on_time and self.is_calm() and vm.draining and came > vm.draining_since + DRAIN_S:
             self.broken("a leaving VM gets no new work", text)
+        evacuated_at = self.evacuations.get(vm.zone, now)
+        if on_time and now >= self.store_unsettled_until and came > evacuated_at + EVACUATE_S:
+            self.broken("no task starts in an evacuated zone", f"{text}: {came - evacuated_at:.1f} s after the evacuation of {vm.zone}")
         self.runs[run.task].append({"run": run.number, "vm": vm.id, "began": now, "ended": None, "how": None, "noted": False})
         limit = TEAMS[job.team]
         self.use[job.team] += run.step["cpu"]
--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -31,7 +31,9 @@
 PATIENCE_S = 3.0
 # An owner's lease and its heartbeats to the others have run out well within this time after a cut.
 ROTATION_S = 4.0
-PLANNED = {"term", "key", "route", "hup", "drain"}
+PLANNED = {"term", "key", "route", "hup", "drain", "evacuate"}
+# Faults after which a daemon may be out of touch with the store, and so with the operator's requests.
+OF_STORE = {"store", "cut-store", "deaf-store", "cut-off", "silence", "reset", "thin-link"}
 
 
 class Callers:
@@ -193,6 +195,8 @@
             self.promises.trouble(until_caught_up)
             if verb == "freeze":
                 self.promises.out_of_touch(until_caught_up)
+            if verb in OF_STORE:
+                self.promises.store_trouble(until_caught_up)
         undo = getattr(self, "do_" + verb.replace("-", "_"))(target)
         if undo:
             await asyncio.sleep(seconds)
@@ -386,6 +390,11 @@
             vm.report()
         return lambda: [(setattr(vm, "draining", False), vm.report()) for vm in vms if vm.up]
 
+    def do_evacuate(self, zones):
+        for zone in zones.split("+"):
+            self.cell.evacuate(zone)
+        return lambda: [self.cell.take_back(zone) for zone in zones.split("+")]
+
     def do_key(self, team):
         """Replaces the key of a team; the old one must stop working."""
         old = self.cell.keys[team]
