Claims wait for a better daemon only where there is one

Cause: in a cell whose daemons all have slow links each waited for better ones before it claimed. Followers know no other daemon than the owner.

Change: the owner reports the suitability of its best follower, and a follower delays its claims in relation to it.

--- a/include/heatherchute/Election.h
+++ b/include/heatherchute/Election.h
@@ -125,6 +125,8 @@
     void stepDown(const std::string& why, TimePoint now, TimePoint until);
     /// Makes no claim before `until`. Does not end a current ownership.
     void abstain(TimePoint until);
+    /// Sets the additional delay of later claims; see ElectionSettings.
+    void setClaimDelay(Milliseconds delay) { m_settings.claimDelay = delay; }
     /// Issues claims and renewals that are due.
     void tick(TimePoint now);
 
--- a/lib/Node/CellLoad.cpp
+++ b/lib/Node/CellLoad.cpp
@@ -87,11 +87,13 @@
     return capacity.processorShare / sufficientShare * linkPart;
 }
 
-Milliseconds claimDelayOf(const DaemonCapacity& capacity)
+Milliseconds claimDelayOf(const DaemonCapacity& capacity, double bestSuitability)
 {
     /// Several claims of a suitable daemon, each with its jitter, fit into this time.
     constexpr double maxDelayMs = 600;
-    return Milliseconds(std::llround(maxDelayMs * std::max(0.0, 1 - suitabilityOf(capacity))));
+    const auto wanted = std::min(sufficientSuitability, bestSuitability);
+    const auto missing = wanted > 0 ? 1 - suitabilityOf(capacity) / wanted : 0;
+    return Milliseconds(std::llround(maxDelayMs * std::max(0.0, missing)));
 }
 
 bool isBetterOwner(const DaemonCapacity& other, const DaemonCapacity& owner, bool isOwnerLate)
--- a/lib/Node/CellLoad.h
+++ b/lib/Node/CellLoad.h
@@ -82,10 +82,13 @@
     double linkMbps = 0;
 };
 
-/// Suitability of a daemon as the owner of a cell of a few hundred VMs: one or more if it can carry the load.
+/// Suitability of a daemon that can carry the load of the owner of a cell of a few hundred VMs.
+inline constexpr double sufficientSuitability = 1;
+/// Suitability of a daemon as the owner, in proportion to that.
 double suitabilityOf(const DaemonCapacity& capacity);
-/// Delay of the daemon's claims behind those of suitable daemons.
-Milliseconds claimDelayOf(const DaemonCapacity& capacity);
+/// Delay of the daemon's claims behind those of the most suitable daemon; none if that is no better than this one.
+/// `bestSuitability` is that of the best daemon that may claim.
+Milliseconds claimDelayOf(const DaemonCapacity& capacity, double bestSuitability);
 /// Returns true if the cell should move from a daemon to another one. An owner that is late with its own work
 /// hands over to any daemon that is clearly more suitable, other owners only to a much more suitable one,
 /// since each move interrupts the service.
--- a/lib/Node/Core.cpp
+++ b/lib/Node/Core.cpp
@@ -78,7 +78,7 @@
     cell::ElectionSettings election;
     election.daemon = settings.name;
     election.lease = electionLease(settings);
-    election.claimDelay = claimDelayOf({ settings.processorShare, settings.linkMbps });
+    election.claimDelay = claimDelayOf({ settings.processorShare, settings.linkMbps }, sufficientSuitability);
     return election;
 }
 
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -172,6 +172,8 @@
     void loadCell();
     /// Starts the scheduler with the cell that was read. `load` has the figures of the load for the log.
     void adoptCell(cell::StateLog log, const std::vector<cell::StoredJob>& jobs, Json load);
+    /// Suitability of the best connected daemon as an owner; zero if there is none.
+    double bestSuccessor() const;
     bool isLoadingCell() const { return m_election.isOwner() && !m_scheduler; }
     DaemonCapacity capacity() const { return { m_settings.processorShare, m_settings.linkMbps }; }
     /// Returns true if, by the store and the other daemons, no daemon can serve calls now.
--- a/lib/Node/Messages.h
+++ b/lib/Node/Messages.h
@@ -30,8 +30,11 @@
     double linkMbps = 0;
     /// The daemon holds the owner record and has not loaded the cell yet.
     bool isLoadingCell = false;
+    /// Suitability as an owner of the best daemon that is connected to the sender; zero if there is none. Tells
+    /// followers, which know no other daemons, whether a better one may claim when the owner is lost.
+    double bestSuccessor = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PeerHello, daemon, failureDomain, incarnation, policyVersion, ownsCell, peerAddress, fencingToken, processorShare, ownerAddress, ownerRevision, clockMs, linkMbps, isLoadingCell)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(PeerHello, daemon, failureDomain, incarnation, policyVersion, ownsCell, peerAddress, fencingToken, processorShare, ownerAddress, ownerRevision, clockMs, linkMbps, isLoadingCell, bestSuccessor)
 
 /// The operator's configuration document, for a daemon that cannot read it from the store.
 struct PeerPolicy {
--- a/test/cell/cell.py
+++ b/test/cell/cell.py
@@ -78,7 +78,7 @@
             "store": f"127.0.0.1:{self.store.port}",
             "advice": f"127.0.0.1:{self.cell.advice_server.port}",
             "shortest_store_lease_ms": 1000, "longest_vm_lease_ms": 10000, "grace_s": GRACE_S, "job_retention_s": STATUS_S,
-            "processor_share": 0.6 if self.link_mbps else 1.0, "link_mbps": self.link_mbps,
+            "processor_share": 1.0, "link_mbps": self.link_mbps,
             "evacuate_ms": int(EVACUATE_S * 1000)}
         with open(self.path("json"), "w", encoding="utf-8") as file:
             json.dump(settings, file)
--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -284,20 +284,24 @@
         if owner is None or owner.name not in allowed:
             self.promises.broken("a daemon with a fast link owns the cell", f"{owner.name if owner else 'none'} does")
 
+    def do_check_stored(self, target):
+        """The last of the jobs that the store had at the beginning is still known; callers come back for a while."""
+        job_id = f"{self.cell.stored_jobs - 1:016x}"
+        asyncio.ensure_future(self.check_answer(target, job_id, 200, "an accepted job is known"))
+
     def do_check_served(self, target):
-        asyncio.ensure_future(self.check_served(target))
+        """The owner says that there is no such job; nobody else can."""
+        job_id = f"{random.getrandbits(64):016x}"
+        asyncio.ensure_future(self.check_answer(target, job_id, 410, "a cell that some daemon can load is served"))
 
-    async def check_served(self, target):
-        """Some daemon accepts a job; callers come back for a while, as they do."""
-        path = f"/urgent/{random.getrandbits(64):016x}"
+    async def check_answer(self, target, job_id, expected, promise):
         headers = {"Host": "cell.example", "Authorization": "Token " + self.cell.keys["blue"]}
         for _ in range(8):
-            answer = await Channel(("127.0.0.1", self.daemon(target).callers.port)).call("GET", path, b"", headers)
-            # The owner says that there is no such job; nobody else can.
-            if answer and answer[0] == 410:
+            answer = await Channel(("127.0.0.1", self.daemon(target).callers.port)).call("GET", "/urgent/" + job_id, b"", headers)
+            if answer and answer[0] == expected:
                 return
             await asyncio.sleep(0.5)
-        self.promises.broken("a cell that some daemon can load is served", f"{target} answers {answer[0] if answer else 'nothing'}")
+        self.promises.broken(promise, f"{target} answers {answer[0] if answer else 'nothing'} for {job_id}")
 
     def do_delay_peers(self, target):
         return self.proxied(target, "peers", lambda proxy: setattr(proxy, "delay", 0.2))
--- a/tools/cell-model/CellModel.cpp
+++ b/tools/cell-model/CellModel.cpp
@@ -120,6 +120,7 @@
     repeat(m_settings.faults.secondsBetweenOwners, [this] { changeOwner(); });
     repeat(m_settings.faults.secondsBetweenOutages, [this] { m_storeDownUntil = m_clock.now() + Milliseconds(std::llround(m_dice.around(3000, 0.5))); });
     repeat(m_settings.faults.secondsBetweenRestarts, [this, anyVm] { restart(anyVm()); });
+    repeat(m_settings.faults.secondsBetweenEvacuations, [this, anyVm] { evacuate(anyVm().report.failureDomain); });
     repeat(m_settings.faults.secondsBetweenDrains, [this, anyVm] {
         auto& vm = anyVm();
         vm.report.draining = true;
@@ -131,6 +132,27 @@
     });
 }
 
+void World::evacuate(const std::string& domain)
+{
+    if (!m_evacuatedSince.emplace(domain, m_clock.now()).second)
+        return;
+    updateEvacuations();
+    m_clock.after(Milliseconds(std::llround(m_dice.around(9000, 0.5))), [this, domain] {
+        m_evacuatedSince.erase(domain);
+        updateEvacuations();
+    });
+}
+
+void World::updateEvacuations()
+{
+    toOwner(m_owner, uniformMs(2, 900), [this] {
+        std::set<std::string> domains;
+        for (const auto& [domain, since] : m_evacuatedSince)
+            domains.insert(domain);
+        m_desk->setEvacuatedDomains(std::move(domains), m_clock.deskTime());
+    });
+}
+
 void World::updateRegistry()
 {
     if (!m_desk)
@@ -150,6 +172,7 @@
     ++m_owner;
     CellLimits limits;
     limits.leases.lease = m_settings.vmLease;
+    limits.hasEvacuations = m_settings.faults.secondsBetweenEvacuations > 0;
     m_desk = std::make_unique<CellDesk>(limits, m_clock.now() + inheritedLease(limits.leases));
     m_desk->setPolicy(m_policy);
     std::map<std::string, StoredJob> jobs;
@@ -169,6 +192,8 @@
     m_desk->setAdvisers(daemons);
     m_desk->load(stored, m_clock.deskTime());
     updateRegistry();
+    if (limits.hasEvacuations)
+        updateEvacuations();
     pump();
 }
 
--- a/tools/cell-model/CellModel.h
+++ b/tools/cell-model/CellModel.h
@@ -53,6 +53,8 @@
     /// Whether it also executes those that a VM executes late, and the share of heartbeats that are executed late.
     bool areLateCommandsInherited = false;
     double lateHeartbeats = 0;
+    /// Mean seconds between evacuations of a failure domain, each for several seconds. Zero: none.
+    double secondsBetweenEvacuations = 0;
 };
 
 struct ModelSettings {
@@ -124,6 +126,8 @@
 ModelSettings modelDeployment(const std::string& name);
 /// Adds quick restarts of VMs, with long tasks that run meanwhile.
 void addRestarts(ModelSettings& settings);
+/// Adds evacuations of failure domains, beside new owners, crashes and drains.
+void addEvacuations(ModelSettings& settings);
 /// Lets VMs execute commands late, also those for an earlier incarnation.
 void addLateCommands(ModelSettings& settings);
 
--- a/tools/cell-model/Deployments.cpp
+++ b/tools/cell-model/Deployments.cpp
@@ -160,6 +160,16 @@
     settings.longestTail = Seconds(240);
 }
 
+void addEvacuations(ModelSettings& settings)
+{
+    settings.faults.secondsBetweenEvacuations = 3;
+    settings.faults.secondsBetweenOwners = 6;
+    settings.faults.secondsBetweenCrashes = 4;
+    settings.faults.secondsBetweenDrains = 9;
+    // Two of three domains may be evacuated for much of the load.
+    settings.longestTail = Seconds(240);
+}
+
 void addLateCommands(ModelSettings& settings)
 {
     settings.faults.lateOrders = 0.03;
--- a/tools/cell-model/Judge.cpp
+++ b/tools/cell-model/Judge.cpp
@@ -14,6 +14,11 @@
     const auto& task = job->second.tasks.at(order.task);
     if (!(vm.used() + step.need).fitsIn(vm.report.capacity))
         broken("start of " + name + " overcommits " + vm.report.id);
+    /// Time after which an evacuation must be in force.
+    constexpr Seconds evacuationBound { 5 };
+    const auto evacuated = m_evacuatedSince.find(vm.report.failureDomain);
+    if (evacuated != m_evacuatedSince.end() && m_clock.now() - evacuated->second > evacuationBound)
+        broken("start of " + name + " on " + vm.report.id + " in the evacuated domain " + vm.report.failureDomain);
     if (task.doneNoted)
         broken("start of " + name + " after its end was taken note of");
     if (task.failuresNoted >= job->second.queue->policy.maxAttempts && !step.gang)
@@ -78,7 +83,7 @@
     const auto& spec = job.spec.steps[step.step];
     std::size_t slots = 0;
     for (const auto& [name, vm] : m_vms) {
-        if (!isReachable(vm) || vm.report.draining || !isAllowed(stepText(step), name, job.queue->allowedShare))
+        if (!isReachable(vm) || vm.report.draining || m_evacuatedSince.contains(vm.report.failureDomain) || !isAllowed(stepText(step), name, job.queue->allowedShare))
             continue;
         const auto free = vm.report.capacity - vm.used();
         const auto here = std::min(free.cpuMilli / spec.need.cpuMilli, free.memoryMb / spec.need.memoryMb);
--- a/tools/cell-model/World.h
+++ b/tools/cell-model/World.h
@@ -191,6 +191,9 @@
     bool couldRun(const ModelJob& job, const TaskId& step) const;
     void trace(std::string_view what, const std::string& text);
     void updateRegistry();
+    void evacuate(const std::string& domain);
+    /// Tells the owner of the evacuated domains, as its watch of the store does.
+    void updateEvacuations();
 
     Milliseconds uniformMs(std::int64_t least, std::int64_t most) { return Milliseconds(least + std::llround(m_dice.uniform() * static_cast<double>(most - least))); }
     Milliseconds wire() { return Milliseconds(std::max<std::int64_t>(1, std::llround(m_dice.around(static_cast<double>(m_settings.networkDelay.count()), 0.3)))); }
@@ -214,6 +217,8 @@
     std::unique_ptr<CellDesk> m_desk;
     std::uint64_t m_owner = 0;
     TimePoint m_storeDownUntil;
+    /// Evacuated failure domains, and since when.
+    std::map<std::string, TimePoint> m_evacuatedSince;
     TimePoint m_nextStandstillCheck;
     /// When the advice service is through with what each daemon has asked.
     std::map<std::uint64_t, TimePoint> m_adviceUntil;
--- a/tools/heatherchute-lab/main.cpp
+++ b/tools/heatherchute-lab/main.cpp
@@ -52,6 +52,7 @@
     add("first-fit", "plays the same load first come first served with first fit as well, without faults");
     add("faults", "crashes, cuts, new owners, outages, late orders and lost answers");
     add("restarts", "VMs that start anew under their ids and take commands for their earlier incarnations");
+    add("evacuations", "failure domains that are evacuated and taken back, beside new owners, crashes and drains");
     add("late-commands", "VMs that execute commands late, also after a restart");
     options::variables_map values;
     try {
@@ -80,6 +81,8 @@
                 settings.faults = { 0.02, 0.03, 4, 5, 8, 9, 12, 0.03, 0.05 };
             if (values.count("restarts"))
                 addRestarts(settings);
+            if (values.count("evacuations"))
+                addEvacuations(settings);
             if (values.count("late-commands"))
                 addLateCommands(settings);
             const auto result = playModel(settings);
--- a/unittests/Node/CellLoadTest.cpp
+++ b/unittests/Node/CellLoadTest.cpp
@@ -111,10 +111,15 @@
     const DaemonCapacity slowLink { 0.3, 10 };
     const DaemonCapacity small { 0.09, 10 };
     const DaemonCapacity unknownLink { 0.5, 0 };
-    CHECK(claimDelayOf(large) == Milliseconds(0));
-    CHECK(claimDelayOf(unknownLink) == Milliseconds(0));
-    CHECK(claimDelayOf(slowLink) >= Milliseconds(300));
-    CHECK(claimDelayOf(small) > claimDelayOf(slowLink));
+    const auto best = suitabilityOf(large);
+    CHECK(claimDelayOf(large, best) == Milliseconds(0));
+    CHECK(claimDelayOf(unknownLink, best) == Milliseconds(0));
+    CHECK(claimDelayOf(slowLink, best) >= Milliseconds(300));
+    CHECK(claimDelayOf(small, best) > claimDelayOf(slowLink, best));
+    // Where no daemon has more, nobody has to wait for a better one.
+    CHECK(claimDelayOf(slowLink, suitabilityOf(slowLink)) == Milliseconds(0));
+    CHECK(claimDelayOf(small, suitabilityOf(slowLink)) > Milliseconds(0));
+    CHECK(claimDelayOf(small, 0) == Milliseconds(0));
     CHECK(isBetterOwner(large, slowLink, false));
     CHECK_FALSE(isBetterOwner(slowLink, large, true));
     // Daemons that differ little keep the cell where it is, unless its owner cannot keep up.
