A load that makes progress is given up later than one that does not

Ruled out: one longer deadline, which would keep the cell longer at a daemon that reads nothing.

Change: the cell is given up when no page has arrived for 5 s, or after 15 s; both grow with each failure.

--- a/lib/Node/CellLoad.cpp
+++ b/lib/Node/CellLoad.cpp
@@ -51,6 +51,7 @@
 void LoadDeadline::begin(TimePoint now)
 {
     m_elapsed = Duration(0);
+    m_sinceLastPage = Duration(0);
     m_tickedAt = now;
 }
 
@@ -58,16 +59,20 @@
 {
     /// A longer time between two ticks is a pause of the process.
     constexpr Milliseconds maxTick { 1000 };
-    if (isLeaseConfirmed)
-        m_elapsed += std::min<Duration>(now - m_tickedAt, maxTick);
+    const auto passed = isLeaseConfirmed ? std::min<Duration>(now - m_tickedAt, maxTick) : Duration(0);
+    m_elapsed += passed;
+    m_sinceLastPage += passed;
     m_tickedAt = now;
 }
 
 bool LoadDeadline::isOverdue() const
 {
-    /// A daemon with 10 Mbit/s loads a cell of 2,000 jobs in less than half of this time.
-    constexpr Milliseconds firstDeadline { 5000 };
-    return m_elapsed > firstDeadline * (1U << std::min(m_failures, maxGrowth));
+    /// A daemon with 10 Mbit/s reads three of the largest pages at the same time in this time.
+    constexpr Milliseconds maxPageTime { 5000 };
+    /// A daemon with 2 Mbit/s loads a cell of 2,000 jobs in less than this time.
+    constexpr Milliseconds maxLoadTime { 15'000 };
+    const auto growth = 1U << std::min(m_failures, maxGrowth);
+    return m_sinceLastPage > maxPageTime * growth || m_elapsed > maxLoadTime * growth;
 }
 
 Milliseconds LoadDeadline::onFailed()
--- a/lib/Node/CellLoad.h
+++ b/lib/Node/CellLoad.h
@@ -53,14 +53,17 @@
     std::map<std::string, std::string> m_records;
 };
 
-/// Decides when a new owner has to give up the cell because it has not loaded it. Both times grow with each
-/// failure, so that a cell that loads slowly everywhere is loaded in the end.
+/// Decides when a new owner has to give up the cell because it does not load it: when no page has arrived for some
+/// time, or the whole load takes too long. The times grow with each failure, so that a cell that loads slowly
+/// everywhere is loaded in the end.
 class LoadDeadline {
 public:
     void begin(TimePoint now);
     /// Must be called at least every second while the cell is being loaded. Only time in which the lease is
     /// confirmed counts: without it the daemon keeps nobody from claiming the cell, and the store may be away.
     void tick(bool isLeaseConfirmed, TimePoint now);
+    /// A page has been read.
+    void onPage() { m_sinceLastPage = Duration(0); }
     bool isOverdue() const;
     /// Time in this load so far, without that in which the lease was not confirmed.
     Milliseconds elapsed() const { return std::chrono::duration_cast<Milliseconds>(m_elapsed); }
@@ -70,6 +73,7 @@
 
 private:
     Duration m_elapsed { 0 };
+    Duration m_sinceLastPage { 0 };
     TimePoint m_tickedAt;
     unsigned m_failures = 0;
 };
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -214,8 +214,8 @@
 }
 
 /// Reads one page of each listing that is incomplete, all at the same time, and adds those that arrived.
-/// Returns false if one of them could not be read.
-static bool readPages(platform::StoreClient& store, CellReading& reading, const std::atomic<bool>& ended)
+/// Calls `onPage` for each, and returns false if one could not be read.
+static bool readPages(platform::StoreClient& store, CellReading& reading, const std::atomic<bool>& ended, const std::function<void()>& onPage)
 {
     struct PendingPage {
         CellReading::Listing listing;
@@ -234,8 +234,10 @@
             continue;
         const bool isRead = static_cast<bool>(page);
         logEvent(isRead ? LogLevel::Info : LogLevel::Warning, "cell_load_page", { { "prefix", CellReading::prefixOf(listing) }, { "read", isRead }, { "bytes", isRead ? page.value().bytes : 0 }, { "items", isRead ? page.value().items.size() : 0 }, { "reason", isRead ? "" : page.error().message() } });
-        if (isRead)
+        if (isRead) {
             reading.addPage(listing, std::move(page.value()));
+            onPage();
+        }
         isComplete = isComplete && isRead;
     }
     return isComplete;
@@ -243,7 +245,7 @@
 
 /// Reads the cell until it is complete or the ownership ends; returns whether it is complete. The claim of
 /// this daemon has fenced off all earlier owners, so that the cell does not change meanwhile.
-static bool readCell(NodeOutbound& outbound, CellReading& reading, const std::atomic<bool>& ended)
+static bool readCell(NodeOutbound& outbound, CellReading& reading, const std::atomic<bool>& ended, const std::function<void()>& onPage)
 {
     Backoff backoff;
     bool isBegun = false;
@@ -254,7 +256,7 @@
             if (isBegun && !ended.load())
                 reading.begin(head.value() ? head.value()->revision : 0);
         }
-        if (isBegun && readPages(outbound.store(), reading, ended))
+        if (isBegun && readPages(outbound.store(), reading, ended, onPage))
             backoff.reset();
         else
             outbound.sleep(backoff.next());
@@ -267,7 +269,8 @@
     m_loadDeadline.begin(Clock::now());
     logEvent(LogLevel::Info, "cell_load_began", { { "fencing_token", m_election.fencingToken() }, { "processor_share", m_settings.processorShare }, { "link_mbps", m_settings.linkMbps } });
     m_components.outbound->runFiber([this, ended = m_ownershipEnded, reading = m_reading, began = Clock::now()] {
-        if (!readCell(*m_components.outbound, *reading, *ended))
+        const auto onPage = [this] { m_components.outbound->postToCore([this] { m_loadDeadline.onPage(); }); };
+        if (!readCell(*m_components.outbound, *reading, *ended, onPage))
             return;
         const auto readAt = Clock::now();
         cell::StateLog log({ maxStateWrites });
--- a/unittests/Node/CellLoadTest.cpp
+++ b/unittests/Node/CellLoadTest.cpp
@@ -88,6 +88,25 @@
     CHECK(fail(deadline, now) == first);
 }
 
+TEST_CASE("A load that makes progress is given up later than one that does not")
+{
+    // With a slow link everywhere, every daemon once gave up just before its last page.
+    auto now = start;
+    LoadDeadline deadline;
+    deadline.begin(now);
+    for (int page = 0; page < 3; ++page) {
+        pass(deadline, now, Seconds(3), true);
+        deadline.onPage();
+    }
+    CHECK_FALSE(deadline.isOverdue());
+    // A trickle of pages is not waited for without a bound.
+    for (int page = 0; page < 20; ++page) {
+        pass(deadline, now, Seconds(3), true);
+        deadline.onPage();
+    }
+    CHECK(deadline.isOverdue());
+}
+
 TEST_CASE("A load is not given up for the time in which the store is away")
 {
     // The lease lapses then, so that the daemon keeps nobody from claiming the cell.
