Model: the capacity of evacuated failure domains is not free; a test plays evacuations

The check that the cell is less than half full counted the capacity of evacuated domains.

Change: the check counts the domains that are not evacuated; without evacuations it is as before.

--- a/tools/cell-model/Judge.cpp
+++ b/tools/cell-model/Judge.cpp
@@ -109,8 +109,11 @@
     for (const auto& [name, vm] : m_vms) {
         if (!vm.isUp)
             continue;
-        capacity += vm.report.capacity;
-        used += vm.used();
+        // What an evacuated domain has is not free for anybody.
+        if (!m_evacuatedSince.contains(vm.report.failureDomain)) {
+            capacity += vm.report.capacity;
+            used += vm.used();
+        }
         for (const auto& [task, run] : vm.running) {
             running.insert(task.job);
             teamUse[m_jobs.at(task.job).team] += run.need;
--- a/unittests/Cell/CellModelTest.cpp
+++ b/unittests/Cell/CellModelTest.cpp
@@ -90,6 +90,20 @@
     }
 }
 
+TEST_CASE("No run starts in an evacuated failure domain, whoever owns the cell, and all jobs end")
+{
+    // With seed 19 many jobs wait while the domains that are not evacuated are more than half full.
+    for (const std::uint64_t seed : { 1, 2, 19 }) {
+        auto settings = modelDeployment("workshop");
+        settings.seed = seed;
+        addEvacuations(settings);
+        const auto violations = violationsOf(playModel(settings));
+        INFO("seed " << seed << '\n'
+                     << violations);
+        CHECK(violations.empty());
+    }
+}
+
 TEST_CASE("Late gangs do not starve in a cell that is half empty")
 {
     // With these seeds they once did, because they requested advice for too few VMs, too rarely, or
