A hand-over leads to the better daemon; the best successor is found once for all heartbeats

Followers compared themselves with the best successor that an earlier owner had reported; one that loads the cell reported nothing. The search for it was also made for each heartbeat to each daemon, and the absence of the owner was looked for in each tick.

Change: an owner that loads reports the best successor, too, and reports it once more before it hands over.

--- a/lib/Node/Calls.cpp
+++ b/lib/Node/Calls.cpp
@@ -129,7 +129,6 @@
     const auto time = Clock::now();
     // The scheduler of this daemon refuses what it can't store.
     const bool isCutOff = !m_scheduler && !isOwnerReachable() && isCutOffFromOwner(m_ownerReachedAt, time);
-    const bool isAbsentForAll = isOwnerAbsentForAll();
     for (auto it = m_requests.begin(); it != m_requests.end();) {
         const auto& pending = it->second;
         const auto expiry = expiryOf(pending, isCutOff, time);
@@ -138,7 +137,7 @@
             continue;
         }
         auto response = errorResponse(expiry == RequestExpiry::Unknown ? ErrorKind::OutcomeUnknown : ErrorKind::HomeUnreachable);
-        if (expiry == RequestExpiry::NotRun && isAbsentForAll)
+        if (expiry == RequestExpiry::NotRun && isOwnerAbsentForAll())
             setRetryAfter(response, retryAfterAbsence(time - m_ownerReachedAt, pending.request.job));
         // The caller's next connection leads to another daemon once this one is out of rotation.
         response.closesConnection = isCutOff;
--- a/lib/Node/Core.cpp
+++ b/lib/Node/Core.cpp
@@ -53,6 +53,12 @@
         m_nextStepDownCheck = time + 4 * abstention;
         logEvent(LogLevel::Info, "better_owner_known", { { "peer", peer.hello.daemon }, { "processor_share", other.processorShare }, { "link_mbps", other.linkMbps }, { "is_late", m_loopDelay.isLate() }, { "is_loading", isLoadingCell() } });
         m_loopDelay.reset();
+        // The others must know of the better daemon before they can claim, or one of them is the next owner.
+        m_bestSuccessor = std::max(m_bestSuccessor, suitabilityOf(other));
+        for (auto& [otherLink, otherPeer] : m_peers) {
+            if (otherPeer.isOpen)
+                sendHello(otherLink, otherPeer);
+        }
         m_election.stepDown("daemon " + peer.hello.daemon + " has a larger capacity", time, time + abstention);
         schedulePass();
         return;
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -172,8 +172,8 @@
     void loadCell();
     /// Starts the scheduler with the cell that was read. `load` has the figures of the load for the log.
     void adoptCell(cell::StateLog log, const std::vector<cell::StoredJob>& jobs, Json load);
-    /// Suitability of the best connected daemon as an owner; zero if there is none.
-    double bestSuccessor() const;
+    /// Updates m_bestSuccessor, once for the heartbeats to all peers.
+    void updateBestSuccessor(TimePoint time);
     bool isLoadingCell() const { return m_election.isOwner() && !m_scheduler; }
     DaemonCapacity capacity() const { return { m_settings.processorShare, m_settings.linkMbps }; }
     /// Returns true if, by the store and the other daemons, no daemon can serve calls now.
@@ -245,6 +245,9 @@
     std::optional<std::set<std::string>> m_evacuatedDomains;
 
     std::map<LinkId, Peer> m_peers;
+    /// Suitability of the best connected daemon as an owner; zero if there is none.
+    double m_bestSuccessor = 0;
+    TimePoint m_nextSuccessorUpdate;
     TimePoint m_nextDial;
     OwnerDirectory m_ownerDirectory;
     /// Time at which the owner was last reachable.
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -41,14 +41,16 @@
     return link != 0 && isHeard(m_peers.at(link));
 }
 
-double NodeCore::bestSuccessor() const
+void NodeCore::updateBestSuccessor(TimePoint time)
 {
-    double best = 0;
+    if (time < m_nextSuccessorUpdate)
+        return;
+    m_nextSuccessorUpdate = time + helloInterval;
+    m_bestSuccessor = 0;
     for (const auto& [link, peer] : m_peers) {
         if (peer.isOpen && !peer.hello.daemon.empty())
-            best = std::max(best, suitabilityOf({ peer.hello.processorShare, peer.hello.linkMbps }));
+            m_bestSuccessor = std::max(m_bestSuccessor, suitabilityOf({ peer.hello.processorShare, peer.hello.linkMbps }));
     }
-    return best;
 }
 
 bool NodeCore::isOwnerAbsentForAll() const
@@ -85,7 +87,7 @@
 void NodeCore::sendHello(LinkId link, Peer& peer)
 {
     peer.lastHello = Clock::now();
-    PeerHello hello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_scheduler && !isIsolatedOwner(), addressText(m_settings.advertisePeers), m_scheduler ? m_election.fencingToken() : 0, m_settings.processorShare, {}, 0, bootTimeMs(), m_settings.linkMbps, isLoadingCell(), bestSuccessor() };
+    PeerHello hello { m_settings.name, m_settings.failureDomain, m_incarnation, m_policy ? m_policy->version : 0, m_scheduler && !isIsolatedOwner(), addressText(m_settings.advertisePeers), m_scheduler ? m_election.fencingToken() : 0, m_settings.processorShare, {}, 0, bootTimeMs(), m_settings.linkMbps, isLoadingCell(), m_bestSuccessor };
     if (const auto& record = m_election.record()) {
         hello.ownerAddress = record->peerAddress;
         hello.ownerRevision = record->revision;
@@ -130,6 +132,7 @@
 void NodeCore::maintainLinks()
 {
     const auto time = Clock::now();
+    updateBestSuccessor(time);
     std::vector<LinkId> silent;
     for (auto& [link, peer] : m_peers) {
         if (peer.isOpen && time - peer.lastHello >= helloInterval)
@@ -230,11 +233,11 @@
         m_election.depose("daemon " + hello.daemon + " knows a newer owner record", Clock::now());
         schedulePass();
     }
-    if (hello.ownsCell) {
+    if (hello.ownsCell)
         m_election.trustOwner();
-        // The owner reports this daemon, too.
+    // The owner reports this daemon, too.
+    if (hello.ownsCell || hello.isLoadingCell)
         m_election.setClaimDelay(claimDelayOf(capacity(), hello.bestSuccessor));
-    }
     if (becameOwner)
         schedulePass();
 }
