Node: one function reads the pages of a prefix; a hello to all peers is sent by one function

Cause: the change wrote reading by pages twice, once for listings that are watched and once for the load of the cell, each with its own position and back-off. The second read in rounds, so that a listing waited for the slowest page of the others. The loop that sends a hello to all open peers stood three times.

Ruled out: CellReading in place of StoreList for the watches: they need the items in order and the first revision, and keep nothing for a later term.

Change: readPages() serves both; the load runs it once for each listing, side by side, as before the change. sendHelloToAll() serves the three. The set of evacuated domains is copied and cleared instead of exchanged with itself. Four comments are plainer. What is decided is as before: order of pages, repeats, deadline, log events and limits.

--- a/lib/Node/CellLoad.h
+++ b/lib/Node/CellLoad.h
@@ -10,7 +10,7 @@
 
 namespace heatherchute {
 
-/// What has been read of the cell. While no daemon has loaded the cell nobody changes it, so what was read
+/// What has been read of the cell. The cell does not change while no daemon has loaded it, so what was read
 /// in one ownership term remains valid in the next one as long as the cell's head is unchanged.
 class CellReading {
 public:
@@ -60,7 +60,7 @@
 public:
     void begin(TimePoint now);
     /// Must be called at least every second while the cell is being loaded. Only time in which the lease is
-    /// confirmed counts: without it the daemon keeps nobody from claiming the cell, and the store may be away.
+    /// confirmed counts: without it other daemons can claim the cell, and the store may be away.
     void tick(bool isLeaseConfirmed, TimePoint now);
     /// A page has been read.
     void onPage() { m_sinceLastPage = Duration(0); }
--- a/lib/Node/Core.cpp
+++ b/lib/Node/Core.cpp
@@ -55,10 +55,7 @@
         m_loopDelay.reset();
         // The others must know of the better daemon before they can claim, or one of them is the next owner.
         m_bestSuccessor = std::max(m_bestSuccessor, suitabilityOf(other));
-        for (auto& [otherLink, otherPeer] : m_peers) {
-            if (otherPeer.isOpen)
-                sendHello(otherLink, otherPeer);
-        }
+        sendHelloToAll();
         m_election.stepDown("daemon " + peer.hello.daemon + " has a larger capacity", time, time + abstention);
         schedulePass();
         return;
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -135,6 +135,7 @@
     // Peers.cpp
     void maintainLinks();
     void sendHello(LinkId link, Peer& peer);
+    void sendHelloToAll();
     void handle(LinkId link, const PeerHello& hello);
     /// Sends the policy to a peer that still has an older one after the time that the store takes.
     void sendPolicyIfLagging(LinkId link, Peer& peer);
--- a/lib/Node/Owner.cpp
+++ b/lib/Node/Owner.cpp
@@ -186,10 +186,7 @@
         respondTo(origin, reply);
     }
     requeueRequests();
-    for (auto& [link, peer] : m_peers) {
-        if (peer.isOpen)
-            sendHello(link, peer);
-    }
+    sendHelloToAll();
 }
 
 /// Entries of a transaction that remain for state writes, after its two conditions and the head key.
@@ -213,54 +210,40 @@
     return result;
 }
 
-/// Reads one page of each listing that is incomplete, all at the same time, and adds those that arrived.
-/// Calls `onPage` for each, and returns false if one could not be read.
-static bool readPages(platform::StoreClient& store, CellReading& reading, const std::atomic<bool>& ended, const std::function<void()>& onPage)
+/// Reads what is missing of the cell, all listings at the same time; returns false if the ownership ends before.
+/// The claim of this daemon has fenced off all earlier owners, so that the cell does not change meanwhile.
+static bool readCell(NodeOutbound& outbound, CellReading& reading, const std::atomic<bool>& ended, const std::function<void()>& onPage)
 {
-    struct PendingPage {
-        CellReading::Listing listing;
-        boost::fibers::future<Result<platform::StorePage>> page;
+    Backoff backoff;
+    auto head = outbound.store().get(headKey);
+    while (!head && !ended.load()) {
+        outbound.sleep(backoff.next());
+        head = outbound.store().get(headKey);
+    }
+    // In a later ownership term the reading belongs to another fiber.
+    if (ended.load())
+        return false;
+    reading.begin(head.value() ? head.value()->revision : 0);
+    const auto readListing = [&](CellReading::Listing listing) {
+        const auto& prefix = CellReading::prefixOf(listing);
+        readPages(
+            outbound, prefix, reading.positionOf(listing), [&ended] { return ended.load(); }, [&](Result<platform::StorePage>&& page) {
+            if (ended.load())
+                return;
+            const bool isRead = static_cast<bool>(page);
+            logEvent(isRead ? LogLevel::Info : LogLevel::Warning, "cell_load_page", { { "prefix", prefix }, { "read", isRead }, { "bytes", isRead ? page.value().bytes : 0 }, { "items", isRead ? page.value().items.size() : 0 }, { "reason", isRead ? "" : page.error().message() } });
+            if (!isRead)
+                return;
+            reading.addPage(listing, std::move(page.value()));
+            onPage(); });
     };
-    std::vector<PendingPage> pending;
+    std::vector<boost::fibers::future<void>> listings;
     for (const auto listing : CellReading::allListings) {
         if (!reading.isComplete(listing))
-            pending.push_back({ listing, boost::fibers::async([&store, prefix = CellReading::prefixOf(listing), after = reading.positionOf(listing)] { return store.readPage(prefix, after); }) });
-    }
-    bool isComplete = true;
-    for (auto& [listing, future] : pending) {
-        auto page = future.get();
-        // In a later ownership term the reading belongs to another fiber.
-        if (ended.load())
-            continue;
-        const bool isRead = static_cast<bool>(page);
-        logEvent(isRead ? LogLevel::Info : LogLevel::Warning, "cell_load_page", { { "prefix", CellReading::prefixOf(listing) }, { "read", isRead }, { "bytes", isRead ? page.value().bytes : 0 }, { "items", isRead ? page.value().items.size() : 0 }, { "reason", isRead ? "" : page.error().message() } });
-        if (isRead) {
-            reading.addPage(listing, std::move(page.value()));
-            onPage();
-        }
-        isComplete = isComplete && isRead;
-    }
-    return isComplete;
-}
-
-/// Reads the cell until it is complete or the ownership ends; returns whether it is complete. The claim of
-/// this daemon has fenced off all earlier owners, so that the cell does not change meanwhile.
-static bool readCell(NodeOutbound& outbound, CellReading& reading, const std::atomic<bool>& ended, const std::function<void()>& onPage)
-{
-    Backoff backoff;
-    bool isBegun = false;
-    while (!ended.load() && !(isBegun && reading.isComplete())) {
-        if (!isBegun) {
-            const auto head = outbound.store().get(headKey);
-            isBegun = static_cast<bool>(head);
-            if (isBegun && !ended.load())
-                reading.begin(head.value() ? head.value()->revision : 0);
-        }
-        if (isBegun && readPages(outbound.store(), reading, ended, onPage))
-            backoff.reset();
-        else
-            outbound.sleep(backoff.next());
+            listings.push_back(boost::fibers::async([&readListing, listing] { readListing(listing); }));
     }
+    for (auto& listing : listings)
+        listing.get();
     return !ended.load();
 }
 
@@ -315,10 +298,7 @@
     logEvent(LogLevel::Info, "cell_loaded", std::move(load));
     m_metrics.count("cell_loads", "loaded");
     m_ownedSince = Clock::now();
-    for (auto& [link, peer] : m_peers) {
-        if (peer.isOpen)
-            sendHello(link, peer);
-    }
+    sendHelloToAll();
     schedulePass();
 }
 
@@ -362,7 +342,9 @@
         PrefixWatch watch { platform::evacuationPrefix, "evacuations", {}, {}, Milliseconds(0), [ended] { return ended->load(); } };
         // While the store does not respond, the domains that it told of last remain evacuated.
         watch.onItems = [this, ended, &domains](const auto& items, bool isComplete) {
-            const auto before = std::exchange(domains, isComplete ? std::set<std::string>() : domains);
+            const auto before = domains;
+            if (isComplete)
+                domains.clear();
             for (const auto& item : items) {
                 auto domain = platform::evacuatedDomainOfKey(item.key);
                 if (item.deleted)
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -95,6 +95,14 @@
     m_components.links->send(link, hello);
 }
 
+void NodeCore::sendHelloToAll()
+{
+    for (auto& [link, peer] : m_peers) {
+        if (peer.isOpen)
+            sendHello(link, peer);
+    }
+}
+
 void NodeCore::stepDownIfVmsUnreachable(TimePoint time)
 {
     /// An owner that cannot reach most VMs for this time gives up the cell, since another daemon may
--- a/lib/Node/StoreReads.cpp
+++ b/lib/Node/StoreReads.cpp
@@ -32,26 +32,38 @@
 
 } // namespace
 
-/// Lists a prefix page by page, and repeats only the page that could not be read. Returns an incomplete list
-/// once `isEnded` returns true.
+void readPages(NodeOutbound& outbound, const std::string& prefix, std::string after, const std::function<bool()>& isEnded, const PageHandler& onPage)
+{
+    Backoff backoff;
+    for (bool isComplete = false; !isComplete && !isEnded();) {
+        auto page = outbound.store().readPage(prefix, after);
+        const bool isRead = static_cast<bool>(page);
+        if (isRead) {
+            isComplete = !page.value().hasMore;
+            if (!isComplete)
+                after = page.value().items.back().key;
+        }
+        onPage(std::move(page));
+        if (isRead)
+            backoff.reset();
+        else
+            outbound.sleep(backoff.next());
+    }
+}
+
+/// Returns an incomplete list once `isEnded` returns true.
 static StoreList listPrefix(NodeOutbound& outbound, const PrefixWatch& watch, StoreContactLog& contact)
 {
     StoreList list;
-    Backoff backoff;
-    std::optional<std::string> after = std::string();
-    while (after && !watch.isEnded()) {
-        auto page = outbound.store().readPage(watch.prefix, *after);
+    bool isFirst = true;
+    readPages(outbound, watch.prefix, {}, watch.isEnded, [&](Result<platform::StorePage>&& page) {
         contact.note(!page);
-        if (!page) {
-            outbound.sleep(backoff.next());
-            continue;
-        }
-        backoff.reset();
-        if (after->empty())
+        if (!page)
+            return;
+        if (std::exchange(isFirst, false))
             list.revision = page.value().revision;
-        after = page.value().hasMore ? std::optional(page.value().items.back().key) : std::nullopt;
         std::move(page.value().items.begin(), page.value().items.end(), std::back_inserter(list.items));
-    }
+    });
     return list;
 }
 
--- a/lib/Node/StoreReads.h
+++ b/lib/Node/StoreReads.h
@@ -23,6 +23,13 @@
     Milliseconds m_next = minDelay;
 };
 
+/// Gets the result of each read of a page, of failed reads as well.
+using PageHandler = std::function<void(Result<platform::StorePage>&& page)>;
+
+/// Reads the pages of a prefix behind the key `after`, one after the other, until the last one was read or `isEnded`
+/// returns true. Repeats only a page that could not be read. Call it from a fiber of the outbound event loop.
+void readPages(NodeOutbound& outbound, const std::string& prefix, std::string after, const std::function<bool()>& isEnded, const PageHandler& onPage);
+
 /// Gets all items under a prefix if `isComplete`, else those that were written or deleted since.
 using ItemHandler = std::function<void(const std::vector<platform::StoreItem>& items, bool isComplete)>;
 
--- a/unittests/Node/CellLoadTest.cpp
+++ b/unittests/Node/CellLoadTest.cpp
@@ -109,7 +109,7 @@
 
 TEST_CASE("A load is not given up for the time in which the store is away")
 {
-    // The lease lapses then, so that the daemon keeps nobody from claiming the cell.
+    // The lease lapses then, so that other daemons can claim the cell.
     auto now = start;
     LoadDeadline deadline;
     deadline.begin(now);
@@ -135,7 +135,7 @@
     CHECK(claimDelayOf(unknownLink, best) == Milliseconds(0));
     CHECK(claimDelayOf(slowLink, best) >= Milliseconds(300));
     CHECK(claimDelayOf(small, best) > claimDelayOf(slowLink, best));
-    // Where no daemon has more, nobody has to wait for a better one.
+    // Where no daemon has more, no claim is delayed for a better one.
     CHECK(claimDelayOf(slowLink, suitabilityOf(slowLink)) == Milliseconds(0));
     CHECK(claimDelayOf(small, suitabilityOf(slowLink)) > Milliseconds(0));
     CHECK(claimDelayOf(small, 0) == Milliseconds(0));
