--- a/review/9/case.py
+++ b/review/9/case.py
@@ -11,7 +11,7 @@
 
 from deployment import PATIENCE_S, Channel, Deployment, run_case  # noqa: E402
 
-WORKERS = 12
+WORKERS = 16
 CAPACITY = {"cpu": 64000, "mem_mb": 262144, "gpu": 0}
 JOB = "a" * 16
 STEP = {"count": 8, "cpu": 2000, "mem_mb": 2000, "lasts": True, "apart": 1}
--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -159,6 +159,8 @@
         self.version = 0
         self.loop_task = None
         self.next_daemon = 0
+        # Seconds after which a client tries again, by the latest answer.
+        self.retry_after = 0.5
 
     def free_ports(self, count):
         sockets = []
@@ -233,6 +235,7 @@
         answer = await channel.call(method, path, data, headers, PATIENCE_S)
         channel.close()
         self.record.note(f"{method} {path} at {daemon.name}: {answer[0] if answer else 'no answer'} {answer[2].decode().strip() if answer else ''}")
+        self.retry_after = float(answer[1].get("retry-after", 0.5)) if answer else 0.5
         return (answer[0], json.loads(answer[2] or b"{}")) if answer else None
 
     async def submit(self, queue, job_id, steps, **fields):
@@ -250,7 +253,7 @@
             answer = await self.call("POST", f"/{queue}/{job_id}", {"spec": spec, "steps": rows, **fields})
             if answer and answer[0] == 200:
                 return True
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(self.retry_after)
         return False
 
     async def close(self, keep):
