--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -24,6 +24,7 @@
 sys.path.insert(0, os.path.join(ROOT, "test", "cell"))
 sys.dont_write_bytecode = True
 
+from advice import Advice  # noqa: E402
 from loopback import Channel, HttpServer, Proxy  # noqa: E402
 from store import Store  # noqa: E402
 from worker import Gangs, Worker  # noqa: E402
@@ -100,7 +101,7 @@
             "node_name": self.name, "zone": self.zone, "ip": self.ip,
             "listen": {"front": f"{self.ip}:{ports[0]}", "readiness": f"{self.ip}:{ports[1]}"},
             "internal_ports": [ports[2], ports[3]], "platform": {"address": f"127.0.0.1:{self.store.port}", "ttl_min_ms": 1000},
-            "hint": f"127.0.0.1:{self.deployment.hint_port}", "limits": {"cpu_share": 0.25, "link_mbps": 1000.0},
+            "hint": f"127.0.0.1:{await self.hint_port()}", "limits": {"cpu_share": 0.25, "link_mbps": 1000.0},
             "bounds": {"max_hold_ms": 10000, "grace_s": 6, "status_s": 120, "spread_factor": 3}}
         with open(os.path.join(ROOT, "deploy", "settings.json.in"), encoding="utf-8") as file:
             text = render(file.read(), fields).replace(":9464", f":{ports[4]}")
@@ -108,6 +109,10 @@
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(text)
 
+    async def hint_port(self):
+        """Nobody asks for advice where no queue has a hint."""
+        return await self.deployment.advice.open(self.name) if self.deployment.advice else self.deployment.store_server.port
+
     def start(self):
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             command = tomllib.load(file)["roles"]["daemon"]["run"].split()
@@ -136,9 +141,10 @@
 
 
 class Deployment:
-    """`workers`: (kind, capacity) of each. `routes`: fields of each queue beside its name."""
+    """`workers`: (kind, capacity) of each. `routes`: fields of each queue beside its name. `hint`: times of the advice service, as in
+    Advice, for deployments whose queues have one."""
 
-    def __init__(self, record, observe, workers, routes, tenant, daemons=6):
+    def __init__(self, record, observe, workers, routes, tenant, daemons=6, hint=None):
         self.record = record
         self.observe = observe
         self.folder = tempfile.mkdtemp(prefix="heatherchute-review-")
@@ -148,7 +154,8 @@
         self.store = Store(random.getrandbits(32))
         self.store.page_items = 500
         self.store_server = HttpServer(self.store.handle)
-        self.hint_port = 0
+        self.hint = hint
+        self.advice = None
         self.gangs = Gangs()
         self.worker_rows = workers
         self.workers = []
@@ -174,12 +181,13 @@
 
     async def open(self):
         await self.store_server.open()
-        # Nobody asks for advice here: no queue has a hint.
-        self.hint_port = self.store_server.port
         for number, (kind, capacity) in enumerate(self.worker_rows):
             worker = Worker(f"w-{number:04d}", ZONES[number % 3], kind, f"r{number % 3}-{number // 24}", capacity, self.store, self.gangs, self.observe)
+            worker.checks_tickets = self.hint is not None
             await worker.open()
             self.workers.append(worker)
+        if self.hint:
+            self.advice = Advice(self.workers, **self.hint)
         self.configure()
         for number in range(self.daemon_count):
             daemon = Daemon(self, number)
--- a/review/standins-2/worker.py
+++ b/review/standins-2/worker.py
@@ -8,6 +8,7 @@
 import json
 import time
 
+from advice import is_valid
 from loopback import HttpServer
 
 HEARTBEAT_S = 1.5
@@ -65,6 +66,8 @@
         # The worker does not reach the store, so that its pings are lost.
         self.cut_from_store = False
         self.draining = False
+        # The worker's queues have a hint, so that a start needs a ticket.
+        self.checks_tickets = False
         self.entry = None
         self.next_ping = 0.0
         self.last_ping = 0.0
@@ -192,6 +195,8 @@
         running = self.runs.get(task)
         if running and running.number == number:
             return 200, {"clock_ms": self.clock()}
+        if self.checks_tickets and not is_valid(body.get("ticket", ""), task, self):
+            return self.refuse("ticket")
         if running or number <= self.refused_through.get(task, 0):
             return self.refuse("old")
         run = Run(task, number, json.loads(body["spec"])["steps"][int(task.split(".")[2])])
