Let each daemon keep account of its queue at the advice service

Cause: the advice service processes the requests of each machine one at a time, and a request keeps its turn when nobody waits for it any more. The owner alone counted what the daemons had sent: a new owner began with none, as did a daemon whose link came anew, and a request was taken off when it was overdue. So the daemon with the longest queue looked idle and was preferred. Change: AdviceQueue at each daemon counts for all owners and refuses what would wait too long; connections stay open so that late responses are seen, and go to the current owner with the wait for the next request. While the length is unknown, one request at a time is sent, with pauses that double. AdviceLanes uses a daemon less the more of its responses are overdue. The lab has queues at the service that outlive the process, and quick changes of the owner (--owner-changes). AdviceLanes::release takes the wait now; the tests that call it pass zero, which is what they assumed, and check the same.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -94,6 +94,8 @@
     std::vector<std::string> vms;
     /// Expected processing time at the advice service.
     Milliseconds cost { 0 };
+    /// Number of the request, from 1.
+    std::uint64_t request = 0;
 };
 
 /// Final result of a submission or a cancellation.
@@ -136,15 +138,29 @@
     std::int64_t clockMs = 0;
 };
 
-/// Response of the advice service; `allowed` is empty if there was no response.
+enum class AdviceResult : std::uint8_t {
+    Answered,
+    /// The daemon has not sent the request, as too many others wait there.
+    Busy,
+    Failed,
+    /// The daemon has not responded in time.
+    Overdue,
+};
+
+/// Result of a request for advice.
 struct AdviceAnswer {
     std::uint64_t daemon = 0;
     TaskId step;
     std::vector<std::string> asked;
     /// Permitted VMs, each with its ticket.
-    std::optional<std::vector<std::pair<std::string, std::string>>> allowed;
+    std::vector<std::pair<std::string, std::string>> allowed;
     Milliseconds validity { 0 };
     TimePoint sentAt;
+    AdviceResult result = AdviceResult::Answered;
+    /// Number of the request; zero for one that is overdue already, or that an earlier owner sent.
+    std::uint64_t request = 0;
+    /// Time that the daemon's next request would wait at the service.
+    Milliseconds wait { 0 };
 };
 
 class CellDesk {
@@ -386,6 +402,7 @@
     /// Running mean of the share of requested VMs that the advice service permits, by queue.
     std::map<std::string, double> m_permittedShare;
     AdviceLanes m_adviceLanes;
+    std::uint64_t m_nextAdviceRequest = 1;
     /// Unset until the operators' evacuations are known.
     std::optional<std::set<std::string>> m_evacuatedDomains;
     /// Evacuated domains that have been reported as emptied.
--- a/include/heatherchute/CellState.h
+++ b/include/heatherchute/CellState.h
@@ -34,7 +34,8 @@
     };
     std::map<std::string, Permission> allowed;
     std::set<std::string> denied;
-    bool requestPending = false;
+    /// Number of the pending request; zero if there is none.
+    std::uint64_t pendingRequest = 0;
     TimePoint nextRequestAt;
     /// Number of tasks by VM for which resources are reserved while tickets are requested for a gang
     /// that would fit now.
--- a/lib/Cell/Advice.cpp
+++ b/lib/Cell/Advice.cpp
@@ -78,11 +78,11 @@
     // A gang that will not fit even once the runs of limited duration have ended leaves the free capacity to the
     // following steps.
     const bool takesCapacity = !ready.spec->gang || total.fitsIn(service.recurring);
-    if (takesCapacity && (advice.requestPending || hasTickets))
+    if (takesCapacity && (advice.pendingRequest != 0 || hasTickets))
         service.free -= total;
     const auto& costs = *ready.queue->advice;
     // A step for which no daemon can send a request now leaves its capacity to the following steps.
-    if (advice.requestPending || now.steady < advice.nextRequestAt || !m_adviceLanes.canAcquire(costs.base, now.steady))
+    if (advice.pendingRequest != 0 || now.steady < advice.nextRequestAt || !m_adviceLanes.canAcquire(costs.base, now.steady))
         return;
     const bool hasReservation = service.reservedFor == ready.id;
     // A gang for which no VMs can be reserved yet first has to learn where it may run at all.
@@ -152,7 +152,8 @@
     if (takesCapacity)
         service.free -= total;
     request.daemon = *daemon;
-    advice.requestPending = true;
+    request.request = m_nextAdviceRequest++;
+    advice.pendingRequest = request.request;
     advice.nextRequestAt = now.steady + requestPause;
     m_actions.emplace_back(std::move(request));
 }
@@ -175,13 +176,22 @@
 
 void CellDesk::onAdvice(const AdviceAnswer& response, Now now)
 {
-    m_adviceLanes.release(response.daemon, now.steady);
+    if (response.result == AdviceResult::Overdue)
+        m_adviceLanes.onOverdue(response.daemon, now.steady);
+    else if (response.request != 0)
+        m_adviceLanes.release(response.daemon, response.wait, now.steady);
+    else
+        m_adviceLanes.onLateResponse(response.daemon, response.wait, now.steady);
     auto* const advice = findAdvice(response.step);
     if (!advice)
         return;
-    advice->requestPending = false;
+    if (response.request != 0 && response.request == advice->pendingRequest)
+        advice->pendingRequest = 0;
     requestPlacementPass();
-    if (!response.allowed)
+    // The step may ask another daemon at once.
+    if (response.result == AdviceResult::Busy)
+        advice->nextRequestAt = now.steady;
+    if (response.result != AdviceResult::Answered)
         return;
     /// Part of a ticket's validity that is lost to the latency of the response and the start command.
     constexpr Milliseconds ticketMargin { 100 };
@@ -189,8 +199,8 @@
     // VMs already known to be permitted would bias the share, so only new ones are counted.
     const auto isNew = [advice](const std::string& vm) { return !advice->allowed.contains(vm); };
     const auto asked = std::count_if(response.asked.begin(), response.asked.end(), isNew);
-    const auto newPermitted = std::count_if(response.allowed->begin(), response.allowed->end(), [&](const auto& row) { return isNew(row.first); });
-    for (const auto& [vmId, ticket] : *response.allowed) {
+    const auto newPermitted = std::count_if(response.allowed.begin(), response.allowed.end(), [&](const auto& row) { return isNew(row.first); });
+    for (const auto& [vmId, ticket] : response.allowed) {
         denied.erase(vmId);
         const auto vm = m_vms.find(vmId);
         if (vm != m_vms.end())
@@ -206,7 +216,7 @@
         const auto [mean, isFirst] = m_permittedShare.try_emplace(job(response.step.job)->queue, share);
         mean->second += smoothingFactor * (share - mean->second);
     }
-    m_actions.emplace_back(Decision { "advice_taken", { { "step", stepText(response.step) }, { "asked", response.asked.size() }, { "allowed", response.allowed->size() }, { "took_ms", std::chrono::duration_cast<Milliseconds>(now.steady - response.sentAt).count() } } });
+    m_actions.emplace_back(Decision { "advice_taken", { { "step", stepText(response.step) }, { "asked", response.asked.size() }, { "allowed", response.allowed.size() }, { "took_ms", std::chrono::duration_cast<Milliseconds>(now.steady - response.sentAt).count() }, { "late", response.request == 0 } } });
 }
 
 } // namespace heatherchute::cell
--- a/lib/Cell/AdviceLanes.cpp
+++ b/lib/Cell/AdviceLanes.cpp
@@ -1,5 +1,7 @@
 #include "heatherchute/AdviceLanes.h"
 
+#include "heatherchute/AdviceQueue.h"
+
 #include <algorithm>
 
 namespace heatherchute::cell {
@@ -7,9 +9,9 @@
 /// Requests with a longer processing time use only every other daemon, so that short requests, whose
 /// callers have tighter deadlines, don't wait behind them.
 static constexpr Milliseconds maxShortRequest { 150 };
-/// A request that would wait longer is deferred. Tickets last about four times as long, and by the
-/// time of the response other VMs would have free capacity.
-static constexpr Milliseconds maxWait { 400 };
+/// Pause of a daemon after an overdue request, doubled with each further one.
+static constexpr Milliseconds overduePause { 500 };
+static constexpr unsigned maxOverdueDoublings = 4;
 
 void AdviceLanes::setDaemons(const std::vector<std::uint64_t>& daemons)
 {
@@ -17,7 +19,7 @@
     lanes.reserve(daemons.size());
     for (const auto daemon : daemons) {
         const auto known = std::find_if(m_lanes.begin(), m_lanes.end(), [&](const Lane& lane) { return lane.daemon == daemon; });
-        lanes.push_back(known == m_lanes.end() ? Lane { daemon, {}, 0, false } : *known);
+        lanes.push_back(known == m_lanes.end() ? Lane { daemon, {}, 0, 0, false } : *known);
         lanes.back().takesShortRequestsOnly = lanes.size() % 2 == 0;
     }
     m_lanes = std::move(lanes);
@@ -27,7 +29,7 @@
 {
     const Lane* best = nullptr;
     for (const auto& lane : m_lanes) {
-        const bool isEligible = now + maxWait >= lane.busyUntil && (!lane.takesShortRequestsOnly || cost <= maxShortRequest);
+        const bool isEligible = now + AdviceQueue::maxWait >= lane.busyUntil && (!lane.takesShortRequestsOnly || cost <= maxShortRequest);
         if (isEligible && (!best || lane.busyUntil < best->busyUntil))
             best = &lane;
     }
@@ -45,13 +47,39 @@
     return lane.daemon;
 }
 
-void AdviceLanes::release(std::uint64_t daemon, TimePoint now)
+AdviceLanes::Lane* AdviceLanes::find(std::uint64_t daemon)
 {
     const auto lane = std::find_if(m_lanes.begin(), m_lanes.end(), [&](const Lane& candidate) { return candidate.daemon == daemon; });
-    if (lane == m_lanes.end() || lane->pendingRequests == 0)
+    return lane == m_lanes.end() ? nullptr : &*lane;
+}
+
+void AdviceLanes::release(std::uint64_t daemon, Milliseconds wait, TimePoint now)
+{
+    auto* const lane = find(daemon);
+    if (!lane || lane->pendingRequests == 0)
+        return;
+    --lane->pendingRequests;
+    onLateResponse(daemon, wait, now);
+}
+
+void AdviceLanes::onLateResponse(std::uint64_t daemon, Milliseconds wait, TimePoint now)
+{
+    auto* const lane = find(daemon);
+    if (!lane)
+        return;
+    lane->overdueRequests = 0;
+    // The daemon may not have received the pending requests yet.
+    lane->busyUntil = lane->pendingRequests == 0 ? now + wait : std::max(lane->busyUntil, now + wait);
+}
+
+void AdviceLanes::onOverdue(std::uint64_t daemon, TimePoint now)
+{
+    auto* const lane = find(daemon);
+    if (!lane || lane->pendingRequests == 0)
         return;
-    if (--lane->pendingRequests == 0)
-        lane->busyUntil = std::min(lane->busyUntil, now);
+    --lane->pendingRequests;
+    const auto pause = overduePause * (1U << std::min(lane->overdueRequests++, maxOverdueDoublings));
+    lane->busyUntil = std::max(lane->busyUntil, now + AdviceQueue::maxWait + pause);
 }
 
 } // namespace heatherchute::cell
--- a/lib/Cell/Placing.cpp
+++ b/lib/Cell/Placing.cpp
@@ -345,7 +345,7 @@
         const auto before = m_placements.size();
         placeStep(ready, service, now);
         // With the tickets received, the reservation has either been used or is no longer needed.
-        if (!ready.step->advice.requestPending)
+        if (ready.step->advice.pendingRequest == 0)
             dropTicketReservations(ready);
         if (m_placements.size() == before)
             reserveForGang(ready, service, now);
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -4,6 +4,7 @@
 #include "CellLoad.h"
 #include "Duties.h"
 #include "OwnerContact.h"
+#include "heatherchute/AdviceQueue.h"
 #include "heatherchute/Cell.h"
 #include "heatherchute/Election.h"
 #include "heatherchute/Metrics.h"
@@ -208,11 +209,16 @@
     void onVmResult(const VmResult& result);
     void expireCommands();
 
+    // Advice.cpp
     /// Tells the scheduler which daemons can query the advice service.
     void updateAdvisers();
-    /// Queries the advice service from this daemon and sends the response to `replyTo`.
-    void requestAdvice(std::uint64_t id, const std::string& step, const std::vector<std::string>& vms, Milliseconds timeout, LinkId replyTo);
-    void onAdviceResponse(const AdviceResponse& response);
+    /// Queries the advice service from this daemon, unless too many requests wait there, and sends the response to
+    /// the owner of the cell.
+    void requestAdvice(const AdviceRequest& request, LinkId requester);
+    /// Sends the response to the requester, or to the owner of the cell if that is another daemon by now.
+    void sendAdvice(AdviceResponse response, LinkId requester);
+    void onAdviceOutcome(cell::AdviceQueue::RequestId number, platform::AdviceOutcome outcome);
+    void onAdviceResponse(const AdviceResponse& response, LinkId from);
     void expireAdviceRequests();
 
     NodeSettings m_settings;
@@ -263,7 +269,10 @@
     std::uint64_t m_nextRequest = 1;
     std::map<cell::CallId, RequestOrigin> m_requestOrigins;
     cell::CallId m_nextSchedulerRequest = 1;
+    /// Requests of this daemon as the owner, by way of any daemon.
     std::map<std::uint64_t, PendingAdviceRequest> m_adviceRequests;
+    /// Requests that this daemon has sent to the advice service.
+    cell::AdviceQueue m_adviceQueue;
     std::uint64_t m_nextAdviceRequest = 1;
     std::map<std::uint64_t, PendingCommand> m_commands;
     std::uint64_t m_nextCommand = 1;
--- a/lib/Node/Messages.cpp
+++ b/lib/Node/Messages.cpp
@@ -157,12 +157,12 @@
 
 static bool isInBounds(const AdviceRequest& request)
 {
-    return request.timeoutMs <= maxTimeoutMs;
+    return request.timeoutMs <= maxTimeoutMs && request.costMs <= maxTimeoutMs;
 }
 
 static bool isInBounds(const AdviceResponse& response)
 {
-    return response.validityMs <= maxValidityMs;
+    return response.validityMs <= maxValidityMs && response.waitMs <= maxTimeoutMs;
 }
 
 static bool isInBounds(const PeerHello& hello)
--- a/lib/Node/Messages.h
+++ b/lib/Node/Messages.h
@@ -81,18 +81,29 @@
     std::uint64_t id = 0;
     std::string step;
     std::vector<std::string> vms;
+    /// Time after which the owner does not wait any more.
     std::uint64_t timeoutMs = 0;
+    /// Expected processing time at the service; zero from versions that don't send it.
+    std::uint64_t costMs = 0;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AdviceRequest, id, step, vms, timeoutMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AdviceRequest, id, step, vms, timeoutMs, costMs)
 
-/// Response to an AdviceRequest.
+/// Response to an AdviceRequest. If another daemon owns the cell by then, that one gets it.
 struct AdviceResponse {
+    /// Id of the request; zero if another owner sent it.
     std::uint64_t id = 0;
     bool answered = false;
     std::vector<std::pair<std::string, std::string>> allowed;
     std::uint64_t validityMs = 0;
+    /// The request was not sent, as too many others wait at the service.
+    bool isBusy = false;
+    /// Time that the sender's next request would wait at the service.
+    std::uint64_t waitMs = 0;
+    /// Step and VMs of the request; empty from versions that don't send them.
+    std::string step;
+    std::vector<std::string> vms;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AdviceResponse, id, answered, allowed, validityMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(AdviceResponse, id, answered, allowed, validityMs, isBusy, waitMs, step, vms)
 
 /// Sent as a number, so the order of the enumerators is part of the protocol.
 enum class VmCommandKind : std::uint8_t {
--- a/lib/Node/Peers.cpp
+++ b/lib/Node/Peers.cpp
@@ -295,12 +295,12 @@
 
 void NodeCore::handle(LinkId link, const AdviceRequest& request)
 {
-    requestAdvice(request.id, request.step, request.vms, Milliseconds(request.timeoutMs), link);
+    requestAdvice(request, link);
 }
 
-void NodeCore::handle(LinkId, const AdviceResponse& response)
+void NodeCore::handle(LinkId link, const AdviceResponse& response)
 {
-    onAdviceResponse(response);
+    onAdviceResponse(response, link);
 }
 
 } // namespace heatherchute
--- a/tools/cell-model/CellModel.cpp
+++ b/tools/cell-model/CellModel.cpp
@@ -187,7 +187,7 @@
     for (auto& [id, job] : jobs)
         stored.push_back(std::move(job));
     std::vector<std::uint64_t> daemons;
-    for (const auto& [daemon, until] : m_adviceUntil)
+    for (const auto& [daemon, adviser] : m_advisers)
         daemons.push_back(daemon);
     m_desk->setAdvisers(daemons);
     m_desk->load(stored, m_clock.deskTime());
@@ -199,12 +199,14 @@
 
 void World::changeOwner()
 {
+    if (m_settings.faults.doOwnersRestart)
+        restartAdviser();
     m_desk.reset();
     ++m_owner;
     for (auto& [id, job] : m_jobs)
         job.isUnsure = job.isUnsure || std::exchange(job.openCalls, 0) > 0;
     const auto gone = m_owner;
-    m_clock.after(Milliseconds(std::llround(m_dice.around(1500, 0.5))), [this, gone] {
+    m_clock.after(Milliseconds(std::llround(m_dice.around(m_settings.faults.takeoverMs, 0.5))), [this, gone] {
         if (m_owner == gone)
             beginOwner();
     });
@@ -298,28 +300,64 @@
 
 void World::advise(std::uint64_t owner, const AskAdvice& order)
 {
+    /// Time beyond the expected processing time after which the owner stops waiting.
+    constexpr Milliseconds adviceSlack { 2000 };
     ++m_result.adviceCalls;
     const auto sentAt = m_clock.now();
-    auto& until = m_adviceUntil.at(order.daemon);
-    until = std::max(until, sentAt) + order.cost;
-    toOwner(owner, std::chrono::duration_cast<Milliseconds>(until - sentAt) + wire() + wire(), [this, order, sentAt] {
-        const auto job = m_jobs.find(order.step.job);
-        const auto share = job->second.queue->allowedShare;
-        AdviceAnswer answer { order.daemon, order.step, order.vms, std::vector<std::pair<std::string, std::string>>(), job->second.queue->policy.advice->validity, sentAt };
-        for (const auto& vm : order.vms) {
-            if (isAllowed(stepText(order.step), vm, share))
-                answer.allowed->emplace_back(vm, "ticket");
+    auto& adviser = m_advisers.at(order.daemon);
+    AdviceAnswer answer { order.daemon, order.step, order.vms, {}, Milliseconds(0), sentAt, AdviceResult::Busy, order.request, adviser.queue.waitOf(sentAt) };
+    if (!adviser.queue.canSend(sentAt)) {
+        toOwner(owner, wire() + wire(), [this, answer] { m_desk->onAdvice(answer, m_clock.deskTime()); });
+        return;
+    }
+    const auto number = adviser.queue.send(order.cost, sentAt);
+    m_result.longestAdviceWait = std::max(m_result.longestAdviceWait, std::chrono::duration_cast<Milliseconds>(adviser.serviceBusyUntil - sentAt));
+    adviser.serviceBusyUntil = std::max(adviser.serviceBusyUntil, sentAt) + order.cost;
+    const auto isOverdue = std::make_shared<bool>(false);
+    const auto isAnswered = std::make_shared<bool>(false);
+    m_clock.after(order.cost + adviceSlack, [this, owner, answer, isOverdue, isAnswered]() mutable {
+        if (*isAnswered)
+            return;
+        *isOverdue = true;
+        ++m_result.overdueAdvice;
+        answer.result = AdviceResult::Overdue;
+        toOwner(owner, Milliseconds(0), [this, answer] { m_desk->onAdvice(answer, m_clock.deskTime()); });
+    });
+    m_clock.at(adviser.serviceBusyUntil + wire(), [this, owner, answer, number, isOverdue, isAnswered]() mutable {
+        const auto found = m_advisers.find(answer.daemon);
+        if (found == m_advisers.end())
+            return;
+        auto& known = found->second;
+        *isAnswered = true;
+        known.queue.onResponse(number, m_clock.now());
+        const auto& queue = *m_jobs.at(answer.step.job).queue;
+        answer.result = AdviceResult::Answered;
+        answer.wait = known.queue.waitOf(m_clock.now());
+        answer.validity = queue.policy.advice->validity;
+        for (const auto& vm : answer.asked) {
+            if (isAllowed(stepText(answer.step), vm, queue.allowedShare))
+                answer.allowed.emplace_back(vm, "ticket");
         }
-        m_desk->onAdvice(answer, m_clock.deskTime());
+        if (*isOverdue || owner != m_owner)
+            answer.request = 0;
+        toOwner(m_owner, wire(), [this, answer] { m_desk->onAdvice(answer, m_clock.deskTime()); });
     });
 }
 
+void World::restartAdviser()
+{
+    auto daemon = m_advisers.extract(std::next(m_advisers.begin(), static_cast<std::ptrdiff_t>(m_dice.next() % m_advisers.size())));
+    daemon.mapped().queue = {};
+    daemon.key() = m_nextAdviser++;
+    m_advisers.insert(std::move(daemon));
+}
+
 ModelResult World::play()
 {
     m_vms = makeVms(m_settings, m_clock.now());
     makePolicy();
     for (std::uint32_t i = 0; i < m_settings.daemons; ++i)
-        m_adviceUntil.emplace(i, TimePoint());
+        m_advisers.try_emplace(m_nextAdviser++);
     beginOwner();
     scheduleArrivals();
     scheduleFaults();
--- a/tools/cell-model/CellModel.h
+++ b/tools/cell-model/CellModel.h
@@ -59,6 +59,10 @@
     double lateHeartbeats = 0;
     /// Mean seconds between evacuations of a failure domain, each for several seconds. Zero: none.
     double secondsBetweenEvacuations = 0;
+    /// Mean time from an owner's end to the next one.
+    double takeoverMs = 1500;
+    /// Whether a daemon is restarted with each change of the owner.
+    bool doOwnersRestart = false;
 };
 
 struct ModelSettings {
@@ -110,6 +114,10 @@
     std::uint64_t starts = 0;
     std::uint64_t commits = 0;
     std::uint64_t adviceCalls = 0;
+    /// Requests for advice whose response came after the owner had stopped waiting, or not at all.
+    std::uint64_t overdueAdvice = 0;
+    /// Longest time that a request for advice waited at the service before it was processed.
+    Milliseconds longestAdviceWait { 0 };
     std::uint64_t wastedRuns = 0;
     std::uint64_t unfinished = 0;
     /// What must never happen, in words; empty when all held.
@@ -134,6 +142,8 @@
 void addEvacuations(ModelSettings& settings);
 /// Adds a long-running task on each VM, and gangs that do not fit beside these.
 void addLongRunning(ModelSettings& settings);
+/// Adds quick changes of the owner, each with the restart of a daemon, and many gangs that request advice.
+void addOwnerChanges(ModelSettings& settings);
 /// Lets VMs execute commands late, also those for an earlier incarnation.
 void addLateCommands(ModelSettings& settings);
 
--- a/tools/cell-model/Deployments.cpp
+++ b/tools/cell-model/Deployments.cpp
@@ -170,6 +170,24 @@
     settings.longestTail = Seconds(240);
 }
 
+void addOwnerChanges(ModelSettings& settings)
+{
+    settings.faults.secondsBetweenOwners = 1;
+    settings.faults.takeoverMs = 200;
+    settings.faults.doOwnersRestart = true;
+    // As many gangs as the advice service can just process, each small enough to leave free capacity.
+    auto& large = settings.queues.at(0);
+    large.jobsPerSecond = 4.5;
+    large.steps = 1;
+    large.tasks = 5;
+    large.maxTasks = 8;
+    large.runMs = 2500;
+    large.cpuMilli = 8000;
+    large.memoryMb = 20'000;
+    for (std::size_t i = 1; i < settings.queues.size(); ++i)
+        settings.queues[i].jobsPerSecond *= 0.1;
+}
+
 void addLongRunning(ModelSettings& settings)
 {
     auto resident = makeQueue("resident", 2, 4, 4, Milliseconds(3000), {});
--- a/tools/cell-model/World.h
+++ b/tools/cell-model/World.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "CellModel.h"
+#include "heatherchute/AdviceQueue.h"
 
 #include <cmath>
 #include <queue>
@@ -93,6 +94,12 @@
     Room used() const;
 };
 
+/// A daemon that requests advice, and its queue at the service, which outlives the process.
+struct ModelAdviser {
+    AdviceQueue queue;
+    TimePoint serviceBusyUntil;
+};
+
 /// What the model knows of a task that the desk does not.
 struct ModelTask {
     double runMs = 0;
@@ -163,6 +170,8 @@
     void stop(std::uint64_t owner, std::uint64_t fence, const StopRun& order);
     void beat(std::uint64_t owner, std::uint64_t fence, const BeatVm& order);
     void advise(std::uint64_t owner, const AskAdvice& order);
+    /// Restarts one of the daemons that request advice. What it has sent remains at the service.
+    void restartAdviser();
     void answered(const AnswerCall& answer);
     StartAnswer startAt(ModelVm& vm, std::uint64_t fence, const StartRun& order);
     void endRun(ModelVm& vm, const TaskId& task, RunEnd end);
@@ -224,8 +233,9 @@
     /// Evacuated failure domains, and since when.
     std::map<std::string, TimePoint> m_evacuatedSince;
     TimePoint m_nextStandstillCheck;
-    /// When the advice service is through with what each daemon has asked.
-    std::map<std::uint64_t, TimePoint> m_adviceUntil;
+    /// By link; a daemon that has been restarted gets a new one.
+    std::map<std::uint64_t, ModelAdviser> m_advisers;
+    std::uint64_t m_nextAdviser = 0;
     bool m_pumpWanted = false;
     ModelResult m_result;
     /// One entry for each pass.
--- a/tools/heatherchute-lab/main.cpp
+++ b/tools/heatherchute-lab/main.cpp
@@ -24,6 +24,7 @@
 void print(const std::string& name, std::uint64_t seed, const ModelResult& result)
 {
     std::cout << name << ", seed " << seed << ": " << result.starts << " starts, " << result.commits << " commits, " << result.adviceCalls << " advice calls, "
+              << result.overdueAdvice << " of them overdue, longest wait " << result.longestAdviceWait.count() << " ms, "
               << result.wastedRuns << " runs not done; pass mean " << std::fixed << std::setprecision(0) << result.meanPassUs << " us, p99 " << result.passP99Us << " us, longest " << result.longestPassUs << " us\n";
     for (const auto& [queue, row] : result.queues) {
         std::cout << "  " << std::left << std::setw(10) << queue << std::right << " jobs " << std::setw(6) << row.jobs << "  in objective " << std::setprecision(3)
@@ -53,6 +54,7 @@
     add("faults", "crashes, cuts, new owners, outages, late orders and lost answers");
     add("restarts", "VMs that start anew under their ids and take commands for their earlier incarnations");
     add("evacuations", "failure domains that are evacuated and taken back, beside new owners, crashes and drains");
+    add("owner-changes", "quick changes of the owner, each with the restart of a daemon, and many gangs");
     add("long-running", "long-running tasks on all VMs, and gangs that do not fit beside these");
     add("late-commands", "VMs that execute commands late, also after a restart");
     options::variables_map values;
@@ -84,6 +86,8 @@
                 addRestarts(settings);
             if (values.count("evacuations"))
                 addEvacuations(settings);
+            if (values.count("owner-changes"))
+                addOwnerChanges(settings);
             if (values.count("long-running"))
                 addLongRunning(settings);
             if (values.count("late-commands"))
--- a/unittests/Cell/AdviceLanesTest.cpp
+++ b/unittests/Cell/AdviceLanesTest.cpp
@@ -31,7 +31,7 @@
     CHECK_FALSE(lanes.acquire(Milliseconds(900), start));
     CHECK(lanes.acquire(Milliseconds(10), start) == 8);
     // The daemon is idle once its last pending request has completed.
-    lanes.release(7, start + Milliseconds(200));
+    lanes.release(7, Milliseconds(0), start + Milliseconds(200));
     CHECK(lanes.acquire(Milliseconds(900), start + Milliseconds(200)) == 7);
 }
 
@@ -41,11 +41,55 @@
     lanes.setDaemons({ 7, 8, 9 });
     CHECK(lanes.acquire(Milliseconds(300), start) == 7);
     lanes.setDaemons({ 8, 9 });
-    lanes.release(7, start);
+    lanes.release(7, Milliseconds(0), start);
     CHECK(lanes.acquire(Milliseconds(300), start) == 8);
     CHECK_FALSE(lanes.acquire(Milliseconds(500), start) == 7);
 }
 
+TEST_CASE("a daemon gets no request that would wait too long by its own account", "[advice]")
+{
+    AdviceLanes lanes;
+    lanes.setDaemons({ 7 });
+    CHECK(lanes.acquire(Milliseconds(100), start) == 7);
+    lanes.release(7, Milliseconds(1000), start);
+    CHECK_FALSE(lanes.canAcquire(Milliseconds(100), start + Milliseconds(599)));
+    CHECK(lanes.acquire(Milliseconds(100), start + Milliseconds(600)) == 7);
+    // So do responses to requests of an earlier owner.
+    lanes.onLateResponse(7, Milliseconds(2000), start + Milliseconds(700));
+    CHECK_FALSE(lanes.canAcquire(Milliseconds(100), start + Milliseconds(2299)));
+    CHECK(lanes.canAcquire(Milliseconds(100), start + Milliseconds(2300)));
+}
+
+// Guards against owners that prefer the daemon with the longest queue, as no responses come from there.
+TEST_CASE("a daemon whose responses are overdue is used less and less, until it responds", "[advice]")
+{
+    AdviceLanes lanes;
+    lanes.setDaemons({ 7, 8 });
+    auto now = start;
+    Milliseconds longestPause(0);
+    for (int i = 0; i < 8; ++i) {
+        REQUIRE(lanes.acquire(Milliseconds(900), now) == 7);
+        now += Milliseconds(2800);
+        lanes.onOverdue(7, now);
+        CHECK_FALSE(lanes.canAcquire(Milliseconds(900), now));
+        // The other daemon takes requests meanwhile.
+        CHECK(lanes.acquire(Milliseconds(10), now) == 8);
+        lanes.release(8, Milliseconds(0), now);
+        const auto overdueAt = now;
+        while (!lanes.canAcquire(Milliseconds(900), now))
+            now += Milliseconds(10);
+        const auto pause = std::chrono::duration_cast<Milliseconds>(now - overdueAt);
+        CHECK(pause >= longestPause);
+        longestPause = pause;
+    }
+    CHECK(longestPause >= Milliseconds(4000));
+    CHECK(longestPause <= Milliseconds(10'000));
+    REQUIRE(lanes.acquire(Milliseconds(900), now) == 7);
+    lanes.onOverdue(7, now);
+    lanes.onLateResponse(7, Milliseconds(0), now);
+    CHECK(lanes.acquire(Milliseconds(900), now) == 7);
+}
+
 TEST_CASE("no request waits longer than the limit", "[advice]")
 {
     CHECK(rc::check("wait of each request", [] {
--- a/unittests/Cell/CellModelTest.cpp
+++ b/unittests/Cell/CellModelTest.cpp
@@ -135,6 +135,25 @@
     }
 }
 
+// Guards against owners that send more requests for advice through a daemon than the service has processed. With these
+// seeds gangs once stood still because all responses came too late.
+TEST_CASE("Quick changes of the owner do not make requests for advice wait for long")
+{
+    /// Time after which an owner stops waiting for a response, without its processing time.
+    constexpr Milliseconds longestWait { 1900 };
+    for (const std::uint64_t seed : { 2, 3, 7 }) {
+        auto settings = modelDeployment("workshop");
+        settings.seed = seed;
+        addOwnerChanges(settings);
+        const auto result = playModel(settings);
+        const auto violations = violationsOf(result);
+        INFO("seed " << seed << '\n'
+                     << violations);
+        CHECK(violations.empty());
+        CHECK(result.longestAdviceWait < longestWait);
+    }
+}
+
 TEST_CASE("While the store is unavailable, submissions are rejected promptly and not accepted later")
 {
     CellDesk scheduler({}, TimePoint());
--- a/unittests/Cell/ReservationTest.cpp
+++ b/unittests/Cell/ReservationTest.cpp
@@ -156,7 +156,7 @@
     REQUIRE(cell.adviceRequests.size() == 1);
     const auto request = cell.adviceRequests[0];
     const std::vector<std::pair<std::string, std::string>> allowed { { "vm-0", "ticket" } };
-    cell.desk->onAdvice({ 0, request.step, request.vms, allowed, Milliseconds(60'000), cell.now.steady }, cell.now);
+    cell.desk->onAdvice({ 0, request.step, request.vms, allowed, Milliseconds(60'000), cell.now.steady, AdviceResult::Answered, request.request }, cell.now);
     cell.submit("small", "queue", "team", makeJob(1));
     cell.run(Milliseconds(200));
     REQUIRE(cell.adviceRequests.size() == 2);
--- a/unittests/Node/MessagesTest.cpp
+++ b/unittests/Node/MessagesTest.cpp
@@ -27,7 +27,7 @@
     beat.outcome = platform::OrderOutcome::Done;
     beat.state = cell::VmState { 5, 7, { { { "j", 0, 0, 1 }, 2, "c", 0 } }, { { 3, { "j", 0, 0, 2 }, 1, cell::RunEnd::Done, "" } } };
     const VmResult started { 4, platform::OrderOutcome::Unknown, cell::StartAnswer::Started, std::nullopt, 72'000 };
-    return { PeerHello { "a", "z", "i", 4, true, "10.0.0.1:7", 9, 0.5, "10.0.0.2:7", 12, 70'000 }, submission, VmCommands { 9, { start }, 71'000 }, VmResults { { beat, started } }, AdviceRequest { 1, "j.0.0", { "i-1" }, 500 } };
+    return { PeerHello { "a", "z", "i", 4, true, "10.0.0.1:7", 9, 0.5, "10.0.0.2:7", 12, 70'000 }, submission, VmCommands { 9, { start }, 71'000 }, VmResults { { beat, started } }, AdviceRequest { 1, "j.0.0", { "i-1" }, 500, 120 }, AdviceResponse { 1, true, { { "i-1", "ticket" } }, 1500, false, 250, "j.0.0", { "i-1", "i-2" } } };
 }
 
 /// Encodes a message of the kind with this number.
@@ -62,6 +62,8 @@
     CHECK_FALSE(decodePeerMessage(encodeTagged(3, { { "error", 200 } })));
     CHECK_FALSE(decodePeerMessage(encodeTagged(3, { { "phase", 200 } })));
     CHECK_FALSE(decodePeerMessage(encodeTagged(4, { { "timeoutMs", std::numeric_limits<std::uint64_t>::max() } })));
+    CHECK_FALSE(decodePeerMessage(encodeTagged(4, { { "costMs", std::numeric_limits<std::uint64_t>::max() } })));
+    CHECK_FALSE(decodePeerMessage(encodeTagged(5, { { "waitMs", std::numeric_limits<std::uint64_t>::max() } })));
     CHECK_FALSE(decodePeerMessage(encodeTagged(5, { { "validityMs", std::numeric_limits<std::uint64_t>::max() } })));
     CHECK(decodePeerMessage(encodeTagged(5, { { "validityMs", 600'000 } })));
     // A start whose answer is out of range must not be taken for one that was refused.
