Start runs only by a registry entry of the VM's present incarnation

Cause: a VM was usable once a heartbeat had shown its incarnation, while its labels, service and capacity came from a registry entry that may be of another one. Seconds can pass before the entry follows, or the whole of a store's outage. Ruled out: late commands and late heartbeats (starts went on for as long as the entry, and heartbeats come every 1.5 s), the choice by label (correct by the entry), our own watch of the registry (the store still had the entry). Change: isUsable requires an entry of the incarnation that responds. A run that was placed for one incarnation is withdrawn or stopped at the next one. An entry that shows the incarnation known already does not put it in doubt. Usage of urgent queues moves with the VM's service: a new owner counted it under no service until the VM's entry came, and kept up to 30 % of the capacity free for good. The lab has VMs that come back as another kind (--kind-changes). "A restarted VM gets no starts before a heartbeat has shown its incarnation" (LeaseTest) expected starts before the registry showed the incarnation. It now checks that there are none until then, and the same as before afterwards.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -291,6 +291,8 @@
     /// Removes the placement of a run that has certainly ended, and releases its resources.
     void releasePlacement(const TaskId& task);
     void adjustUsage(const Placement& placement, Vm& vm, int sign);
+    /// Counts the usage of the highest-priority queues on the VM for another service.
+    void moveUrgentUsage(const Vm& vm, const std::string& service);
     void stopGang(Job& job, const TaskId& member, Now now);
     void stopAll(Job& job, Now now);
     void markRunLost(const TaskId& task, std::string_view reason, Now now);
--- a/include/heatherchute/CellState.h
+++ b/include/heatherchute/CellState.h
@@ -164,6 +164,7 @@
     bool listed = false;
     /// Until when the VM is slow after its start, by the registry.
     TimePoint coldUntil;
+    /// Incarnation that has responded last; zero if none has in this ownership term.
     std::int64_t incarnation = 0;
     Room used;
     /// Part of `used` that is held by long-running tasks.
@@ -201,6 +202,8 @@
     unsigned consecutiveFailures = 0;
     std::string lastFailedJob;
 
+    /// The report is of the incarnation that responds. The labels, service and capacity of another one may differ.
+    bool isReportCurrent() const { return report.incarnation == incarnation; }
     /// Capacity that runs of limited duration use or could use.
     Room recurringCapacity() const { return report.capacity - usedByLongRunning; }
 };
--- a/lib/Cell/Runs.cpp
+++ b/lib/Cell/Runs.cpp
@@ -27,6 +27,17 @@
         m_urgentCpuMilli[vm.report.service] += sign * placement.need.cpuMilli;
 }
 
+void CellDesk::moveUrgentUsage(const Vm& vm, const std::string& service)
+{
+    std::int64_t cpuMilli = 0;
+    for (const auto& task : vm.placements) {
+        const auto& placement = m_placements.at(task);
+        cpuMilli += placement.priority == 0 ? placement.need.cpuMilli : 0;
+    }
+    m_urgentCpuMilli[vm.report.service] -= cpuMilli;
+    m_urgentCpuMilli[service] += cpuMilli;
+}
+
 void CellDesk::releasePlacement(const TaskId& task)
 {
     const auto found = m_placements.find(task);
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -24,7 +24,7 @@
 {
     /// A VM without a response for longer than this gets no new runs.
     constexpr Milliseconds maxResponseAge { 2600 };
-    return vm.listed && !vm.report.draining && !isEvacuated(vm) && vm.fenced && vm.isIncarnationKnown && vm.missedHeartbeats == 0 && vm.clockMs > 0 && now.steady >= vm.quarantinedUntil && now.steady - vm.lastResponseAt < maxResponseAge;
+    return vm.listed && !vm.report.draining && !isEvacuated(vm) && vm.fenced && vm.isIncarnationKnown && vm.isReportCurrent() && vm.missedHeartbeats == 0 && vm.clockMs > 0 && now.steady >= vm.quarantinedUntil && now.steady - vm.lastResponseAt < maxResponseAge;
 }
 
 void CellDesk::quarantine(Vm& vm, Milliseconds duration, std::string_view reason, Now now)
@@ -44,10 +44,12 @@
             m_actions.emplace_back(Decision { "vm_reported", { { "vm", report.id }, { "incarnation", report.incarnation }, { "draining", report.draining }, { "service", report.service } } });
         if (vm.report != report)
             vm.coldUntil = now.steady + report.warmup;
+        if (vm.report.service != report.service)
+            moveUrgentUsage(vm, report.service);
         vm.report = report;
         vm.idHash = stableHash(report.id);
         vm.listed = true;
-        if (isNewIncarnation) {
+        if (isNewIncarnation && !vm.isReportCurrent()) {
             vm.missedHeartbeats = 0;
             doubtIncarnation(vm, now);
         }
@@ -307,11 +309,15 @@
                 sendStop(placement, vm);
             continue;
         }
+        // The VM was chosen by the report of the incarnation for which the run was placed.
+        const bool isVmRestarted = vm.isIncarnationKnown && placement.incarnation != vm.incarnation;
         if (noCommandSent && !isUsable(vm, now))
             lost.emplace_back(id, "vm_unusable");
+        else if (noCommandSent && isVmRestarted)
+            lost.emplace_back(id, "vm_restarted");
         else if (noCommandSent && now.steady >= placement.ticketExpiresAt)
             lost.emplace_back(id, "ticket_lapsed");
-        else if (vm.report.draining || !vm.listed || isEvacuated(vm))
+        else if (vm.report.draining || !vm.listed || isEvacuated(vm) || isVmRestarted)
             placement.stopRequested = true;
         else if (m_isOwnershipConfirmed && vm.isIncarnationKnown)
             sendStart(placement, vm, now);
--- a/tools/cell-model/CellModel.cpp
+++ b/tools/cell-model/CellModel.cpp
@@ -161,8 +161,8 @@
     for (const auto& [id, vm] : m_vms) {
         if (!vm.isUp && !vm.isRestarting)
             continue;
-        reports.push_back(vm.report);
-        reports.back().incarnation = vm.registeredIncarnation;
+        reports.push_back(vm.registered);
+        reports.back().draining = vm.report.draining;
     }
     m_desk->setVms(reports, m_clock.deskTime());
 }
--- a/tools/cell-model/CellModel.h
+++ b/tools/cell-model/CellModel.h
@@ -23,6 +23,8 @@
     double gangShare = 0;
     double checkpointShare = 0;
     double spreadShare = 0;
+    /// Share of steps that require one of the two kinds of VMs.
+    double labelShare = 0;
     /// Share of gangs that need all that the VMs which they may use have when empty.
     double oversizedGangShare = 0;
     /// The jobs last until the end of the day, with one task on each VM.
@@ -52,6 +54,8 @@
     /// Mean seconds between quick restarts of a VM under its id, of which the registry learns late; most of these VMs
     /// are cut off soon after. Zero: none.
     double secondsBetweenRestarts = 0;
+    /// Whether a VM that has restarted is of the other kind.
+    bool doKindsChange = false;
     /// Whether a VM that has restarted executes commands that were on their way to its earlier incarnation.
     bool areCommandsInherited = false;
     /// Whether it also executes those that a VM executes late, and the share of heartbeats that are executed late.
@@ -138,6 +142,8 @@
 ModelSettings modelDeployment(const std::string& name);
 /// Adds quick restarts of VMs, with long tasks that run meanwhile.
 void addRestarts(ModelSettings& settings);
+/// Adds restarts after which a VM is of another kind, which the registry shows later.
+void addKindChanges(ModelSettings& settings);
 /// Adds evacuations of failure domains, beside new owners, crashes and drains.
 void addEvacuations(ModelSettings& settings);
 /// Adds a long-running task on each VM, and gangs that do not fit beside these.
--- a/tools/cell-model/Deployments.cpp
+++ b/tools/cell-model/Deployments.cpp
@@ -160,6 +160,18 @@
     settings.longestTail = Seconds(240);
 }
 
+void addKindChanges(ModelSettings& settings)
+{
+    settings.faults.secondsBetweenRestarts = 0.7;
+    settings.longestVmLease = Milliseconds(10'000);
+    settings.vmClockRate = 0.98;
+    settings.faults.doKindsChange = true;
+    // Large gangs may not use enough VMs of one kind.
+    for (std::size_t i = 1; i < settings.queues.size(); ++i)
+        settings.queues[i].labelShare = 0.6;
+    settings.longestTail = Seconds(240);
+}
+
 void addEvacuations(ModelSettings& settings)
 {
     settings.faults.secondsBetweenEvacuations = 3;
--- a/tools/cell-model/Judge.cpp
+++ b/tools/cell-model/Judge.cpp
@@ -2,7 +2,12 @@
 
 namespace heatherchute::cell {
 
-void World::checkStart(const ModelVm& vm, const StartRun& order)
+static bool hasLabel(const VmReport& vm, const std::string& label)
+{
+    return label.empty() || std::find(vm.labels.begin(), vm.labels.end(), label) != vm.labels.end();
+}
+
+void World::checkStart(const ModelVm& vm, const StartRun& order, bool isIncarnationSeen)
 {
     const auto name = taskText(order.task);
     const auto job = m_jobs.find(order.task.job);
@@ -14,6 +19,9 @@
     const auto& task = job->second.tasks.at(order.task);
     if (!(vm.used() + step.need).fitsIn(vm.report.capacity))
         broken("start of " + name + " overcommits " + vm.report.id);
+    // A command does not name the incarnation that it is meant for.
+    if (isIncarnationSeen && !hasLabel(vm.report, step.requiredLabel))
+        broken("start of " + name + " on " + vm.report.id + ", which does not have the label " + step.requiredLabel);
     /// Time after which an evacuation must be in force.
     constexpr Seconds evacuationBound { 5 };
     const auto evacuated = m_evacuatedSince.find(vm.report.failureDomain);
@@ -89,7 +97,7 @@
     const auto& spec = job.spec.steps[step.step];
     std::size_t slots = 0;
     for (const auto& [name, vm] : m_vms) {
-        if (!isReachable(vm) || vm.report.draining || m_evacuatedSince.contains(vm.report.failureDomain) || !isAllowed(stepText(step), name, job.queue->allowedShare))
+        if (!isReachable(vm) || vm.report.draining || m_evacuatedSince.contains(vm.report.failureDomain) || !isAllowed(stepText(step), name, job.queue->allowedShare) || !hasLabel(vm.report, spec.requiredLabel))
             continue;
         const auto free = vm.report.capacity - vm.used();
         const auto here = std::min(free.cpuMilli / spec.need.cpuMilli, free.memoryMb / spec.need.memoryMb);
--- a/tools/cell-model/Load.cpp
+++ b/tools/cell-model/Load.cpp
@@ -15,7 +15,7 @@
         vm.report.rack = "r" + std::to_string(i % settings.failureDomains) + "-" + std::to_string(i / settings.vmsPerRack);
         vm.report.labels = { i % 2 ? "a" : "b", vm.report.rack };
         vm.report.incarnation = 1 + i;
-        vm.registeredIncarnation = vm.report.incarnation;
+        vm.registered = vm.report;
         vm.clockRate = settings.vmClockRate;
         vm.speed = i % 3 == 2 ? settings.slowFactor : 1;
         vm.bornAt = now - Milliseconds(100 * i);
@@ -55,6 +55,11 @@
         // Half of the slots that advice leaves, since VMs may be lost for good.
         const auto slots = slotsFor(vms, job.id, s, step.need, queue.allowedShare);
         step.tasks = std::clamp(step.tasks, 1U, std::max(1U, slots / 2));
+        if (queue.labelShare > 0 && dice.uniform() < queue.labelShare) {
+            step.requiredLabel = dice.uniform() < 0.5 ? "a" : "b";
+            // About half of the VMs have it.
+            step.tasks = std::clamp(step.tasks, 1U, std::max(1U, slots / 4));
+        }
         if (step.gang && queue.oversizedGangShare > 0 && dice.uniform() < queue.oversizedGangShare) {
             step.tasks = std::max(1U, slots);
             job.hasOversizedGang = true;
--- a/tools/cell-model/ModelVms.cpp
+++ b/tools/cell-model/ModelVms.cpp
@@ -10,7 +10,7 @@
     return sum;
 }
 
-StartAnswer World::startAt(ModelVm& vm, std::uint64_t fence, const StartRun& order)
+StartAnswer World::startAt(ModelVm& vm, std::uint64_t fence, const StartRun& order, bool isIncarnationSeen)
 {
     if (fence < vm.fence)
         return StartAnswer::Fenced;
@@ -26,7 +26,7 @@
         return StartAnswer::Superseded;
     if (order.deadlineMs <= nowMs)
         return StartAnswer::TooLate;
-    checkStart(vm, order);
+    checkStart(vm, order, isIncarnationSeen);
     ++m_result.starts;
     auto& job = m_jobs.at(order.task.job);
     if (!job.hasStarted) {
@@ -149,6 +149,7 @@
     vm.finished.clear();
     vm.forbidden.clear();
     vm.waiters.clear();
+    vm.seenBy = 0;
     vm.nextEnd = 1;
     vm.lapsedThrough = 0;
     vm.fence = 0;
@@ -168,7 +169,7 @@
         vm.isUp = true;
         vm.bornAt = m_clock.now();
         vm.report.incarnation += 1000;
-        vm.registeredIncarnation = vm.report.incarnation;
+        vm.registered = vm.report;
         updateRegistry();
         pump();
     });
@@ -188,8 +189,10 @@
         vm.bornAt = m_clock.now();
         vm.leaseUntil = TimePoint();
         vm.report.incarnation += 1000;
+        if (m_settings.faults.doKindsChange)
+            vm.report.labels.at(0) = vm.report.labels.at(0) == "a" ? "b" : "a";
         m_clock.after(uniformMs(0, 1500), [this, &vm] {
-            vm.registeredIncarnation = vm.report.incarnation;
+            vm.registered = vm.report;
             updateRegistry();
             pump();
         });
@@ -226,14 +229,15 @@
     if (isLost)
         lost();
     const auto sentTo = m_vms.at(order.vm).bornAt;
+    const bool isSeen = m_vms.at(order.vm).seenBy == owner;
     const bool isInherited = isLate ? m_settings.faults.areLateCommandsInherited : m_settings.faults.areCommandsInherited;
-    deliver(order.vm, delay, [this, owner, fence, order, isLost, lost, sentAt, sentTo, isInherited](ModelVm& vm) {
+    deliver(order.vm, delay, [this, owner, fence, order, isLost, lost, sentAt, sentTo, isSeen, isInherited](ModelVm& vm) {
         const bool isDelivered = isReachable(vm) && (isInherited || vm.bornAt == sentTo);
         if (!isDelivered && !isLost)
             return lost();
         if (!isDelivered)
             return;
-        const auto answer = startAt(vm, fence, order);
+        const auto answer = startAt(vm, fence, order, isSeen && vm.bornAt == sentTo);
         trace(startAnswerName(answer), "start " + taskText(order.task) + " run " + std::to_string(order.run) + " on " + order.vm + " fence " + std::to_string(fence));
         if (!isLost)
             toOwner(owner, wire(), [this, order, answer, sentAt, clockMs = vm.clockMs(m_clock.now())] { m_desk->onStart({ order.vm, order.task, order.run, answer, sentAt, clockMs }, m_clock.deskTime()); });
@@ -335,7 +339,11 @@
             for (const auto& [task, run] : vm.running)
                 state.running.push_back({ task, run.run, run.checkpoint, 100 });
             answer.state = state;
-            toOwner(owner, wire(), [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+            toOwner(owner, wire(), [this, &vm, owner, answer] {
+                if (vm.report.incarnation == answer.state->incarnation)
+                    vm.seenBy = owner;
+                m_desk->onBeat(answer, m_clock.deskTime());
+            });
         };
         if (order.wait.count() == 0 || !vm.finished.empty())
             return reply();
--- a/tools/cell-model/World.h
+++ b/tools/cell-model/World.h
@@ -76,8 +76,10 @@
     bool isRestarting = false;
     TimePoint cutUntil;
     TimePoint bornAt;
-    /// Incarnation that the registry shows.
-    std::int64_t registeredIncarnation = 0;
+    /// What the registry shows.
+    VmReport registered;
+    /// Number of the owner that has had a response of the present incarnation.
+    std::uint64_t seenBy = 0;
     double clockRate = 1;
     std::uint64_t life = 1;
     std::uint64_t fence = 0;
@@ -173,7 +175,8 @@
     /// Restarts one of the daemons that request advice. What it has sent remains at the service.
     void restartAdviser();
     void answered(const AnswerCall& answer);
-    StartAnswer startAt(ModelVm& vm, std::uint64_t fence, const StartRun& order);
+    /// `isIncarnationSeen` is true if the owner knew the VM's present incarnation when it sent the command.
+    StartAnswer startAt(ModelVm& vm, std::uint64_t fence, const StartRun& order, bool isIncarnationSeen);
     void endRun(ModelVm& vm, const TaskId& task, RunEnd end);
     void beginRun(ModelVm& vm, const TaskId& task, std::uint32_t run, double runMs);
     void joinGang(ModelVm& vm, const TaskId& task, std::uint32_t run, double runMs);
@@ -191,7 +194,7 @@
     void executeHeartbeat(ModelVm& vm, std::uint64_t fence, const BeatVm& order);
     /// Executes a heartbeat late and gives the owner no response.
     void beatLate(std::uint64_t owner, std::uint64_t fence, const BeatVm& order);
-    void checkStart(const ModelVm& vm, const StartRun& order);
+    void checkStart(const ModelVm& vm, const StartRun& order, bool isIncarnationSeen);
     void broken(const std::string& text);
     void toOwner(std::uint64_t owner, Milliseconds delay, std::function<void()> action);
     bool isReachable(const ModelVm& vm) const { return vm.isUp && m_clock.now() >= vm.cutUntil; }
--- a/tools/heatherchute-lab/main.cpp
+++ b/tools/heatherchute-lab/main.cpp
@@ -53,6 +53,7 @@
     add("first-fit", "plays the same load first come first served with first fit as well, without faults");
     add("faults", "crashes, cuts, new owners, outages, late orders and lost answers");
     add("restarts", "VMs that start anew under their ids and take commands for their earlier incarnations");
+    add("kind-changes", "VMs that start anew under their ids as another kind, which the registry shows later");
     add("evacuations", "failure domains that are evacuated and taken back, beside new owners, crashes and drains");
     add("owner-changes", "quick changes of the owner, each with the restart of a daemon, and many gangs");
     add("long-running", "long-running tasks on all VMs, and gangs that do not fit beside these");
@@ -84,6 +85,8 @@
                 settings.faults = { 0.02, 0.03, 4, 5, 8, 9, 12, 0.03, 0.05 };
             if (values.count("restarts"))
                 addRestarts(settings);
+            if (values.count("kind-changes"))
+                addKindChanges(settings);
             if (values.count("evacuations"))
                 addEvacuations(settings);
             if (values.count("owner-changes"))
--- a/unittests/Cell/CellDeskTest.cpp
+++ b/unittests/Cell/CellDeskTest.cpp
@@ -272,3 +272,29 @@
     cell.run(Milliseconds(50));
     CHECK(cell.answer(repeated) == ErrorKind::None);
 }
+
+// Guards against capacity that is kept free for queues of the highest priority which do not use it.
+TEST_CASE("Runs of the highest priority that an earlier owner started count until they end, and no longer")
+{
+    auto urgent = makeQueue("urgent", 2);
+    urgent.priority = 0;
+    auto other = makeQueue("other", 2);
+    other.priority = 1;
+    const auto policy = makePolicy(1, { urgent, other });
+    TestCell cell(policy);
+    cell.submit(jobId, "urgent", "team", makeJob(1, 30'000));
+    cell.run(Milliseconds(200));
+    REQUIRE(cell.starts.size() == 1);
+    cell.answerStart(cell.starts[0], StartAnswer::Started);
+    cell.running = { { cell.starts[0].task, cell.starts[0].run, {}, 0 } };
+    cell.run(Milliseconds(200));
+    cell.changeOwner(policy);
+    cell.run(Milliseconds(200));
+    cell.running.clear();
+    cell.endRun(cell.starts[0], RunEnd::Done);
+    // The demand of the past has no effect any more after this time.
+    cell.run(Milliseconds(60'000));
+    cell.submit("0000000000000002", "other", "team", makeJob(1, 60'000));
+    cell.run(Milliseconds(200));
+    CHECK(cell.starts.size() == 2);
+}
--- a/unittests/Cell/CellModelTest.cpp
+++ b/unittests/Cell/CellModelTest.cpp
@@ -154,6 +154,20 @@
     }
 }
 
+// Guards against starts by the labels of an earlier incarnation of the VM.
+TEST_CASE("VMs that start anew as another kind get no runs that require the earlier kind")
+{
+    for (const std::uint64_t seed : { 1, 2, 3 }) {
+        auto settings = modelDeployment("workshop");
+        settings.seed = seed;
+        addKindChanges(settings);
+        const auto violations = violationsOf(playModel(settings));
+        INFO("seed " << seed << '\n'
+                     << violations);
+        CHECK(violations.empty());
+    }
+}
+
 TEST_CASE("While the store is unavailable, submissions are rejected promptly and not accepted later")
 {
     CellDesk scheduler({}, TimePoint());
--- a/unittests/Cell/IncarnationTest.cpp
+++ b/unittests/Cell/IncarnationTest.cpp
@@ -17,13 +17,14 @@
         step(1);
     }
 
-    void registerVm(std::int64_t incarnation)
+    void registerVm(std::int64_t incarnation, const std::string& kind = "a")
     {
         VmReport report;
         report.id = "vm-0";
         report.service = "workers";
         report.address = { "127.0.0.1", 1 };
         report.capacity = { 64'000, 262'144, 0 };
+        report.labels = { kind };
         report.incarnation = incarnation;
         desk.setVms({ report }, now);
     }
@@ -37,17 +38,27 @@
             for (const auto& action : desk.takeActions()) {
                 if (const auto* const start = std::get_if<StartRun>(&action))
                     starts.push_back(*start);
+                else if (const auto* const stop = std::get_if<StopRun>(&action))
+                    stops.push_back(*stop);
                 else if (const auto* const heartbeat = std::get_if<BeatVm>(&action))
                     heartbeats.push_back(*heartbeat);
                 else if (const auto* const decision = std::get_if<Decision>(&action))
                     events.insert(std::string(decision->event));
                 isCommitted = isCommitted || std::holds_alternative<CommitState>(action);
             }
-            if (isCommitted)
+            if (isCommitted && !isStoreSilent)
                 desk.onCommitted(now);
         }
     }
 
+    /// Submits a job whose task requires a VM of this kind.
+    void submitForKind(const std::string& id, const std::string& kind)
+    {
+        auto spec = makeJob(1);
+        spec.steps[0].requiredLabel = kind;
+        desk.submit(1, id, "queue", "team", spec, now);
+    }
+
     void answerHeartbeat(TimePoint sentAt, std::int64_t clockMs, std::int64_t incarnation, std::vector<FinishedTask> finished = {})
     {
         desk.onBeat({ "vm-0", sentAt, false, VmState { clockMs, incarnation, {}, std::move(finished) } }, now);
@@ -64,7 +75,10 @@
     Now now { TimePoint(Seconds(100)), 1'700'000'000'000 };
     CellDesk desk { CellLimits(), TimePoint(Seconds(100)) };
     std::vector<StartRun> starts;
+    std::vector<StopRun> stops;
     std::vector<BeatVm> heartbeats;
+    /// While set, commits get no response.
+    bool isStoreSilent = false;
     std::set<std::string> events;
 };
 
@@ -133,3 +147,85 @@
     REQUIRE(cell.desk.placements().size() == 1);
     CHECK_FALSE(cell.desk.placements().begin()->second.isIncarnationConfirmed);
 }
+
+// Guards against starts by the labels, service or capacity of the earlier incarnation.
+TEST_CASE("A restarted VM gets no runs before the registry shows its incarnation")
+{
+    ScriptedCell cell;
+    cell.answerHeartbeat(cell.now.steady, 50'000, 1);
+    cell.step(5);
+    cell.answerHeartbeat(cell.now.steady, 500, 2);
+    cell.submitForKind("a-job", "a");
+    cell.submitForKind("b-job", "b");
+    cell.step(50);
+    CHECK(cell.starts.empty());
+    cell.registerVm(2, "b");
+    cell.step(20);
+    REQUIRE(cell.starts.size() == 1);
+    CHECK(cell.starts[0].task.job == "b-job");
+}
+
+TEST_CASE("A restarted VM gets no runs by an older registry entry that comes after a newer one")
+{
+    ScriptedCell cell;
+    cell.answerHeartbeat(cell.now.steady, 50'000, 1);
+    cell.registerVm(2, "b");
+    cell.step(1);
+    cell.answerHeartbeat(cell.now.steady, 500, 2);
+    cell.registerVm(1, "a");
+    cell.step(1);
+    cell.answerHeartbeat(cell.now.steady, 520, 2);
+    cell.submitForKind("a-job", "a");
+    cell.step(20);
+    CHECK(cell.starts.empty());
+}
+
+TEST_CASE("A VM whose registry entry is ahead of its responses gets no runs by it")
+{
+    ScriptedCell cell;
+    cell.answerHeartbeat(cell.now.steady, 50'000, 1);
+    cell.registerVm(2, "b");
+    cell.step(1);
+    cell.answerHeartbeat(cell.now.steady, 50'030, 1);
+    cell.submitForKind("a-job", "a");
+    cell.submitForKind("b-job", "b");
+    cell.step(20);
+    CHECK(cell.starts.empty());
+}
+
+// The VM may have executed the first command, so a command that stops the run is needed.
+TEST_CASE("A start without a response is not repeated at the next incarnation")
+{
+    ScriptedCell cell;
+    cell.answerHeartbeat(cell.now.steady, 50'000, 1);
+    cell.submitForKind(jobId, "a");
+    cell.step(20);
+    REQUIRE(cell.starts.size() == 1);
+    const auto start = cell.starts[0];
+    cell.desk.onStart({ start.vm, start.task, start.run, StartAnswer::Unknown, cell.now.steady, 0 }, cell.now);
+    cell.registerVm(2, "b");
+    cell.step(1);
+    cell.answerHeartbeat(cell.now.steady, 500, 2);
+    cell.step(20);
+    CHECK(cell.starts.size() == 1);
+    CHECK_FALSE(cell.stops.empty());
+}
+
+TEST_CASE("A run that was placed before its VM restarted is not started there")
+{
+    ScriptedCell cell;
+    cell.answerHeartbeat(cell.now.steady, 50'000, 1);
+    cell.submitForKind(jobId, "a");
+    // The placement is not durable yet.
+    cell.isStoreSilent = true;
+    cell.step(20);
+    REQUIRE(cell.events.contains("run_placed"));
+    REQUIRE(cell.starts.empty());
+    cell.registerVm(2, "b");
+    cell.step(1);
+    cell.answerHeartbeat(cell.now.steady, 500, 2);
+    cell.isStoreSilent = false;
+    cell.desk.onCommitted(cell.now);
+    cell.step(50);
+    CHECK(cell.starts.empty());
+}
--- a/unittests/Cell/LeaseTest.cpp
+++ b/unittests/Cell/LeaseTest.cpp
@@ -59,7 +59,10 @@
     if (answer == StartAnswer::Started)
         cell.running = { { cell.starts[0].task, cell.starts[0].run, {}, 0 } };
     cell.isVmSilent = false;
-    cell.run(Milliseconds(3000));
+    cell.run(Milliseconds(1500));
+    CHECK(cell.starts.size() == 1);
+    cell.registerVms(1);
+    cell.run(Milliseconds(1500));
     REQUIRE(cell.starts.size() >= 2);
     CHECK(cell.starts[1].deadlineMs < 20'000);
 }
