Do not ask a daemon with a full queue at the advice service at once again

Cause: a daemon refuses requests when 32 wait at the service, however short they are. It named the time until the last of them is processed, which may be short enough for the owner to send it another request at once, only to be refused again. Change: AdviceQueue::waitOf gives the time until the service has processed the first of them, beyond the limit of a wait. Result: the check in "The number of requests is limited" failed before. The tests tagged [advice] pass.

--- a/include/heatherchute/AdviceQueue.h
+++ b/include/heatherchute/AdviceQueue.h
@@ -25,7 +25,7 @@
     /// length of the queue is unknown, a probe is due.
     bool canSend(TimePoint now) const;
     /// Estimated time until the service begins with a request that is sent now. While the length of the queue is
-    /// unknown, a time after which canSend() allows a probe.
+    /// unknown, or the service would reject the request, `maxWait` more than the time until canSend() may return true.
     Milliseconds waitOf(TimePoint now) const;
     /// Adds a request with this expected processing time at the end of the queue.
     RequestId send(Milliseconds cost, TimePoint now);
--- a/lib/Cell/AdviceQueue.cpp
+++ b/lib/Cell/AdviceQueue.cpp
@@ -31,6 +31,8 @@
     const auto until = [now](TimePoint time) { return std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(time - now)); };
     if (!isLengthKnown(now))
         return until(m_nextProbeAt + maxWait);
+    if (m_requests.size() >= maxRequests)
+        return until(m_requests.front().expectedEnd + maxWait);
     return m_requests.empty() ? Milliseconds(0) : until(m_requests.back().expectedEnd);
 }
 
--- a/unittests/Cell/AdviceQueueTest.cpp
+++ b/unittests/Cell/AdviceQueueTest.cpp
@@ -42,6 +42,9 @@
     for (; queue.canSend(start) && sent < 100; ++sent)
         queue.send(Milliseconds(1), start);
     CHECK(sent == 32);
+    // Nobody asks again before the service has processed one.
+    CHECK(queue.waitOf(start) > AdviceQueue::maxWait);
+    CHECK(queue.waitOf(start + Milliseconds(1)) <= AdviceQueue::maxWait);
 }
 
 TEST_CASE("After a start one probe at a time is sent until a response comes", "[advice]")
