Soak: the advice service processes the requests of each daemon one at a time

Ruled out: a second stand-in beside the old one, which no scenario would need. Change: each daemon has its own port there, by which the service tells the machines apart.

--- a/test/cell/cell.py
+++ b/test/cell/cell.py
@@ -64,19 +64,20 @@
         self.peers = Proxy(("127.0.0.1", cell.take_port()), link)
         self.callers = Proxy(("127.0.0.1", cell.take_port()), link)
         self.store = Proxy(("127.0.0.1", cell.store_server.port), link)
+        self.advice_server = HttpServer(Advice(cell.vms).handle)
         self.readiness = ("127.0.0.1", cell.take_port())
         self.planned_stop = None
         self.exit_codes = []
 
     async def open(self):
-        for proxy in (self.peers, self.callers, self.store):
-            await proxy.open()
+        for server in (self.peers, self.callers, self.store, self.advice_server):
+            await server.open()
         settings = {
             "mode": "cell", "name": self.name, "failure_domain": self.zone,
             "listen_callers": "127.0.0.1:%d" % self.callers.target[1], "listen_readiness": "127.0.0.1:%d" % self.readiness[1],
             "listen_peers": "127.0.0.1:%d" % self.peers.target[1], "advertise_peers": f"127.0.0.1:{self.peers.port}",
             "store": f"127.0.0.1:{self.store.port}",
-            "advice": f"127.0.0.1:{self.cell.advice_server.port}",
+            "advice": f"127.0.0.1:{self.advice_server.port}",
             "shortest_store_lease_ms": 1000, "longest_vm_lease_ms": 10000, "grace_s": GRACE_S, "job_retention_s": STATUS_S,
             "processor_share": 1.0, "link_mbps": self.link_mbps,
             "evacuate_ms": int(EVACUATE_S * 1000)}
@@ -136,7 +137,6 @@
         self.store_server = HttpServer(self.store.handle)
         self.gangs = Gangs()
         self.vms = {}
-        self.advice_server = HttpServer(Advice(self.vms).handle)
         self.vm_proxies = {}
         self.daemons = {}
         self.version = 0
@@ -158,7 +158,6 @@
     async def open(self):
         daemons, vms = self.counts
         await self.store_server.open()
-        await self.advice_server.open()
         zones = ["zone-a", "zone-b", "zone-c"]
         for number in range(vms):
             vm = Vm(f"i-{number:04d}", zones[number % 3], f"r{number % 3}-{number // 6}", self.store, self.gangs, self.record,
--- a/test/cell/vms.py
+++ b/test/cell/vms.py
@@ -244,14 +244,19 @@
 
 
 class Advice:
-    """The advice service: allows each step a fixed part of the VMs."""
+    """The advice service as one machine sees it: allows each step a fixed part of the VMs.
+
+    It processes the requests of a machine one at a time. A request keeps its turn when its sender has gone.
+    """
 
     def __init__(self, vms):
         self.vms = vms
+        self.turn = asyncio.Lock()
 
     async def handle(self, request):
         body = request.json()
-        await asyncio.sleep(0.005 + 0.0002 * len(body["workers"]))
+        async with self.turn:
+            await asyncio.sleep(0.005 + 0.0002 * len(body["workers"]))
         vms = [self.vms[worker] for worker in body["workers"] if worker in self.vms and is_allowed(body["step"], worker)]
         return 200, {"allowed": [[vm.id, ticket(body["step"], vm)] for vm in vms], "validity_ms": 1500}
 
