Tests of the cell model: one function for the deployments with additions

Cause: four test cases had the same loop over seeds. Ruled out: nothing. Change: checkInvariants plays a seed and checks its violations. Deployments, seeds and checks are the same.

--- a/unittests/Cell/CellModelTest.cpp
+++ b/unittests/Cell/CellModelTest.cpp
@@ -31,6 +31,20 @@
     return violations;
 }
 
+/// Plays the deployment with this seed and these additions, and checks that no invariant is violated.
+static ModelResult checkInvariants(const std::string& deployment, std::uint64_t seed, void (*addTo)(ModelSettings&))
+{
+    auto settings = modelDeployment(deployment);
+    settings.seed = seed;
+    addTo(settings);
+    auto result = playModel(settings);
+    const auto violations = violationsOf(result);
+    INFO("seed " << seed << '\n'
+                 << violations);
+    CHECK(violations.empty());
+    return result;
+}
+
 /// Returns a policy with one team and this queue.
 static CellPolicyPointer makePolicy(QueuePolicy queue)
 {
@@ -93,15 +107,8 @@
 TEST_CASE("No run starts in an evacuated failure domain, whoever owns the cell, and all jobs end")
 {
     // With seed 19 many jobs wait while the domains that are not evacuated are more than half full.
-    for (const std::uint64_t seed : { 1, 2, 19 }) {
-        auto settings = modelDeployment("workshop");
-        settings.seed = seed;
-        addEvacuations(settings);
-        const auto violations = violationsOf(playModel(settings));
-        INFO("seed " << seed << '\n'
-                     << violations);
-        CHECK(violations.empty());
-    }
+    for (const std::uint64_t seed : { 1, 2, 19 })
+        checkInvariants("workshop", seed, addEvacuations);
 }
 
 TEST_CASE("Late gangs do not starve in a cell that is half empty")
@@ -124,15 +131,8 @@
 // tasks there. With these seeds they once did.
 TEST_CASE("Gangs that do not fit beside long-running tasks do not hold back other jobs")
 {
-    for (const std::uint64_t seed : { 1, 4, 9 }) {
-        auto settings = modelDeployment("workshop-burst");
-        settings.seed = seed;
-        addLongRunning(settings);
-        const auto violations = violationsOf(playModel(settings));
-        INFO("seed " << seed << '\n'
-                     << violations);
-        CHECK(violations.empty());
-    }
+    for (const std::uint64_t seed : { 1, 4, 9 })
+        checkInvariants("workshop-burst", seed, addLongRunning);
 }
 
 // Guards against owners that send more requests for advice through a daemon than the service has processed. With these
@@ -141,31 +141,15 @@
 {
     /// Time after which an owner stops waiting for a response, without its processing time.
     constexpr Milliseconds longestWait { 1900 };
-    for (const std::uint64_t seed : { 2, 3, 7 }) {
-        auto settings = modelDeployment("workshop");
-        settings.seed = seed;
-        addOwnerChanges(settings);
-        const auto result = playModel(settings);
-        const auto violations = violationsOf(result);
-        INFO("seed " << seed << '\n'
-                     << violations);
-        CHECK(violations.empty());
-        CHECK(result.longestAdviceWait < longestWait);
-    }
+    for (const std::uint64_t seed : { 2, 3, 7 })
+        CHECK(checkInvariants("workshop", seed, addOwnerChanges).longestAdviceWait < longestWait);
 }
 
 // Guards against starts by the labels of an earlier incarnation of the VM.
 TEST_CASE("VMs that start anew as another kind get no runs that require the earlier kind")
 {
-    for (const std::uint64_t seed : { 1, 2, 3 }) {
-        auto settings = modelDeployment("workshop");
-        settings.seed = seed;
-        addKindChanges(settings);
-        const auto violations = violationsOf(playModel(settings));
-        INFO("seed " << seed << '\n'
-                     << violations);
-        CHECK(violations.empty());
-    }
+    for (const std::uint64_t seed : { 1, 2, 3 })
+        checkInvariants("workshop", seed, addKindChanges);
 }
 
 TEST_CASE("While the store is unavailable, submissions are rejected promptly and not accepted later")
