--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -85,6 +85,14 @@
     Milliseconds wait { 0 };
 };
 
+/// Gives up all commands to a VM that have no response yet, and resets their connections: they were issued for an
+/// earlier incarnation of the VM. The result of each is still reported.
+struct WithdrawCommands {
+    std::string vm;
+    /// Address of the earlier incarnation.
+    Address address;
+};
+
 /// Requests advice on which of the VMs may run a step.
 struct AskAdvice {
     /// Daemon that sends the request.
@@ -117,7 +125,7 @@
     std::string vm;
 };
 
-using Action = std::variant<CommitState, StartRun, StopRun, BeatVm, AskAdvice, AnswerCall, Decision, LostOwnership>;
+using Action = std::variant<CommitState, StartRun, StopRun, BeatVm, WithdrawCommands, AskAdvice, AnswerCall, Decision, LostOwnership>;
 
 /// Response of a VM to a heartbeat; `state` is empty if there was no response.
 struct BeatAnswer {
@@ -302,8 +310,9 @@
     std::int64_t leaseDeadlineMs(const Vm& vm, Now now) const;
     /// Accounts for a command that grants a lease and is sent now.
     void grantLease(Vm& vm, Now now) const;
-    /// Grants the VM no lease and starts no runs there before a heartbeat has shown its incarnation.
-    static void doubtIncarnation(Vm& vm, Now now);
+    /// Grants the VM no lease and starts no runs there before a heartbeat has shown its incarnation. Withdraws the
+    /// commands for the incarnation that was known.
+    void doubtIncarnation(Vm& vm, std::string_view reason, Now now);
     /// Returns true if only the incarnation that has confirmed the run may have it.
     static bool isConfirmed(const Placement& placement);
     /// Returns when the run has ended for certain, if the VM does not respond until then.
@@ -332,6 +341,12 @@
     void reconcileListedRun(Vm& vm, const RunningTask& running, TimePoint sentAt, Now now);
     void expireUnresponsiveVms(Now now);
     void sendDueCommands(Now now);
+    /// Withdraws the commands that the VM has not responded to, as their incarnation has ended.
+    void withdrawCommands(const Vm& vm, std::string_view reason);
+    /// Reports VMs whose start commands have become overdue, or are no longer.
+    void reportOverdueStarts(Vm& vm, Now now);
+    /// Returns true if a start command may be repeated at the VM: while its start commands are overdue, one at a time.
+    bool mayRepeatStart(const Vm& vm, Now now) const;
     void sendStart(Placement& placement, Vm& vm, Now now);
     void sendStop(Placement& placement, Vm& vm);
     bool isUsable(const Vm& vm, Now now) const;
--- a/include/heatherchute/CellState.h
+++ b/include/heatherchute/CellState.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "heatherchute/LeaseBounds.h"
+#include "heatherchute/StartResponsiveness.h"
 #include "heatherchute/Work.h"
 
 #include <map>
@@ -193,6 +194,9 @@
     /// When the latest command that grants a lease was sent.
     TimePoint lastGrantAt;
     LeaseBounds leases;
+    StartResponsiveness starts;
+    /// The start commands were overdue in the latest pass.
+    bool areStartsOverdue = false;
     std::uint64_t lastProcessedEnd = 0;
     std::uint64_t lastAcknowledgedEnd = 0;
     bool heartbeatInFlight = false;
--- a/include/heatherchute/Http.h
+++ b/include/heatherchute/Http.h
@@ -149,6 +149,9 @@
     Result<HttpResponse> call(const Address& address, const HttpRequest& request, const HttpCallOptions& options);
     /// Closes all idle connections.
     void dropIdle();
+    /// Resets all connections to the address and ends the requests in progress there, with the errors of call().
+    /// What the network still holds of them is not delivered. Later requests use new connections.
+    void cancelRequests(const Address& address);
 
 private:
     struct State;
--- a/include/heatherchute/Work.h
+++ b/include/heatherchute/Work.h
@@ -266,6 +266,8 @@
     Unknown,
 };
 std::string_view startAnswerName(StartAnswer answer);
+/// Returns true if the VM itself has responded.
+constexpr bool isResponse(StartAnswer answer) { return answer != StartAnswer::NotSent && answer != StartAnswer::Unknown; }
 
 /// Result of a stop command.
 enum class StopAnswer : std::uint8_t {
@@ -284,6 +286,8 @@
 };
 /// Returns true if the run no longer runs on the VM, or ends there soon, and is not started there later.
 bool isStopConfirmed(StopAnswer answer);
+/// Returns true if the VM itself has responded.
+constexpr bool isResponse(StopAnswer answer) { return answer != StopAnswer::NotSent && answer != StopAnswer::Unknown; }
 
 /// State of a job as reported to callers.
 enum class JobPhase : std::uint8_t {
--- a/lib/Cell/Leases.cpp
+++ b/lib/Cell/Leases.cpp
@@ -58,8 +58,9 @@
     vm.lastGrantAt = now.steady;
 }
 
-void CellDesk::doubtIncarnation(Vm& vm, Now now)
+void CellDesk::doubtIncarnation(Vm& vm, std::string_view reason, Now now)
 {
+    withdrawCommands(vm, reason);
     vm.isIncarnationKnown = false;
     vm.doubtedAt = now.steady;
     vm.nextHeartbeatAt = now.steady;
@@ -103,7 +104,7 @@
         }
         return;
     case ClockOrigin::LaterIncarnation:
-        doubtIncarnation(vm, now);
+        doubtIncarnation(vm, "clock", now);
         m_actions.emplace_back(Decision { "vm_clock_behind", { { "vm", vm.report.id }, { "incarnation", vm.incarnation }, { "clock_ms", response.clockMs }, { "known_clock_ms", vm.clockMs }, { "known_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.clockAt).count() }, { "task", taskText(response.task) }, { "run", response.run }, { "answer", startAnswerName(response.answer) } } });
         return;
     case ClockOrigin::Unknown:
--- a/lib/Cell/Runs.cpp
+++ b/lib/Cell/Runs.cpp
@@ -204,6 +204,8 @@
     const auto found = m_placements.find(task);
     const bool isCurrent = found != m_placements.end() && found->second.run == response.run && found->second.vm == response.vm;
     checkClock(vm, isCurrent ? &found->second : nullptr, response, now);
+    if (isResponse(response.answer))
+        vm.starts.onAnswered(response.sentAt, now.steady);
     if (!isCurrent)
         return;
     auto& placement = found->second;
@@ -274,6 +276,8 @@
     constexpr unsigned maxDoublings = 2;
     if (response == StopAnswer::Fenced)
         m_actions.emplace_back(LostOwnership { vmId });
+    if (const auto vm = m_vms.find(vmId); vm != m_vms.end() && isResponse(response))
+        vm->second.starts.onResponse();
     const auto found = m_placements.find(task);
     if (found == m_placements.end() || found->second.run != run || found->second.vm != vmId)
         return;
--- a/lib/Cell/Vms.cpp
+++ b/lib/Cell/Vms.cpp
@@ -24,7 +24,7 @@
 {
     /// A VM without a response for longer than this gets no new runs.
     constexpr Milliseconds maxResponseAge { 2600 };
-    return vm.listed && !vm.report.draining && !isEvacuated(vm) && vm.fenced && vm.isIncarnationKnown && vm.isReportCurrent() && vm.missedHeartbeats == 0 && vm.clockMs > 0 && now.steady >= vm.quarantinedUntil && now.steady - vm.lastResponseAt < maxResponseAge;
+    return vm.listed && !vm.report.draining && !isEvacuated(vm) && vm.fenced && vm.isIncarnationKnown && vm.isReportCurrent() && vm.missedHeartbeats == 0 && !vm.starts.isOverdue(now.steady) && vm.clockMs > 0 && now.steady >= vm.quarantinedUntil && now.steady - vm.lastResponseAt < maxResponseAge;
 }
 
 void CellDesk::quarantine(Vm& vm, Milliseconds duration, std::string_view reason, Now now)
@@ -42,6 +42,12 @@
         const bool isNewIncarnation = vm.report.incarnation != report.incarnation;
         if (isNewIncarnation || vm.report.draining != report.draining)
             m_actions.emplace_back(Decision { "vm_reported", { { "vm", report.id }, { "incarnation", report.incarnation }, { "draining", report.draining }, { "service", report.service } } });
+        const bool isKnownIncarnationOver = isNewIncarnation && report.incarnation != vm.incarnation;
+        // The commands went to the address of the earlier entry.
+        if (isKnownIncarnationOver) {
+            vm.missedHeartbeats = 0;
+            doubtIncarnation(vm, "registry", now);
+        }
         if (vm.report != report)
             vm.coldUntil = now.steady + report.warmup;
         if (vm.report.service != report.service)
@@ -49,10 +55,6 @@
         vm.report = report;
         vm.idHash = stableHash(report.id);
         vm.listed = true;
-        if (isNewIncarnation && !vm.isReportCurrent()) {
-            vm.missedHeartbeats = 0;
-            doubtIncarnation(vm, now);
-        }
         vm.leases.inherit(m_inheritedLeaseEnd);
     }
     m_capacityCpuMilli = 0;
@@ -75,6 +77,7 @@
 void CellDesk::sendHeartbeats(Now now)
 {
     for (auto& [id, vm] : m_vms) {
+        reportOverdueStarts(vm, now);
         if (vm.heartbeatInFlight || now.steady < vm.nextHeartbeatAt || vm.report.address.port == 0)
             continue;
         // A new incarnation of the VM restarts the numbering of its ended runs, and must not discard any because
@@ -159,6 +162,7 @@
     if (vm.incarnation == 0) {
         vm.leases.onFirstResponse(m_limits.leases, now.steady);
     } else {
+        withdrawCommands(vm, "heartbeat");
         vm.leases.onNewIncarnation();
         m_actions.emplace_back(Decision { "vm_reborn", { { "vm", vm.report.id }, { "before", vm.incarnation }, { "now", state.incarnation }, { "placements", vm.placements.size() }, { "lease_granted_ms_ago", std::chrono::duration_cast<Milliseconds>(now.steady - vm.lastGrantAt).count() }, { "acknowledged", vm.lastAcknowledgedEnd }, { "clock_ms", state.clockMs } } });
     }
@@ -208,6 +212,9 @@
     }
     vm.isIncarnationKnown = response.state && (response.sentAt >= vm.doubtedAt || response.state->incarnation != vm.incarnation);
     if (!response.state) {
+        // The heartbeat was withdrawn, or was sent to the incarnation before.
+        if (response.sentAt < vm.doubtedAt)
+            return;
         if (++vm.missedHeartbeats == missedHeartbeatsUntilUnresponsive)
             m_actions.emplace_back(Decision { "vm_silent", { { "vm", response.vm }, { "placements", vm.placements.size() } } });
         vm.nextHeartbeatAt = now.steady + heartbeatRetryDelay;
@@ -221,6 +228,7 @@
     vm.fenced = true;
     vm.missedHeartbeats = 0;
     vm.lastResponseAt = now.steady;
+    vm.starts.onResponse();
     vm.clockMs = state.clockMs;
     vm.clockAt = now.steady;
     vm.clockRequestedAt = response.sentAt;
@@ -269,8 +277,32 @@
         markRunLost(task, "lease_over", now);
 }
 
+void CellDesk::withdrawCommands(const Vm& vm, std::string_view reason)
+{
+    if (vm.incarnation == 0 || vm.report.address.port == 0)
+        return;
+    const auto inFlight = std::count_if(vm.placements.begin(), vm.placements.end(), [this](const TaskId& task) { return m_placements.at(task).commandInFlight; });
+    m_actions.emplace_back(Decision { "commands_withdrawn", { { "vm", vm.report.id }, { "why", reason }, { "incarnation", vm.incarnation }, { "commands", inFlight }, { "heartbeat", vm.heartbeatInFlight } } });
+    m_actions.emplace_back(WithdrawCommands { vm.report.id, vm.report.address });
+}
+
+void CellDesk::reportOverdueStarts(Vm& vm, Now now)
+{
+    const bool isOverdue = vm.starts.isOverdue(now.steady);
+    if (std::exchange(vm.areStartsOverdue, isOverdue) != isOverdue)
+        m_actions.emplace_back(Decision { "vm_starts_overdue", { { "vm", vm.report.id }, { "overdue", isOverdue }, { "bound_ms", vm.starts.bound().count() } } });
+}
+
+bool CellDesk::mayRepeatStart(const Vm& vm, Now now) const
+{
+    if (!vm.starts.isOverdue(now.steady))
+        return true;
+    return std::none_of(vm.placements.begin(), vm.placements.end(), [this](const TaskId& task) { return m_placements.at(task).commandInFlight; });
+}
+
 void CellDesk::sendStart(Placement& placement, Vm& vm, Now now)
 {
+    vm.starts.onSent(now.steady);
     const auto* const ownerJob = job(placement.task.job);
     const auto& task = ownerJob->occurrences.at(placement.task.occurrence).steps.at(placement.task.step).tasks.at(placement.task.index);
     placement.commandInFlight = true;
@@ -319,7 +351,7 @@
             lost.emplace_back(id, "ticket_lapsed");
         else if (vm.report.draining || !vm.listed || isEvacuated(vm) || isVmRestarted)
             placement.stopRequested = true;
-        else if (m_isOwnershipConfirmed && vm.isIncarnationKnown)
+        else if (m_isOwnershipConfirmed && vm.isIncarnationKnown && mayRepeatStart(vm, now))
             sendStart(placement, vm, now);
     }
     for (const auto& [id, reason] : lost)
--- a/lib/Http/Client.cpp
+++ b/lib/Http/Client.cpp
@@ -1,9 +1,11 @@
 #include "heatherchute/Http.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <map>
+#include <set>
 
 namespace heatherchute {
 
@@ -83,27 +85,58 @@
         return {};
     }
 
-    /// Counts one request to an address during its own lifetime.
-    class ActiveRequestGuard {
+    class PendingRequest;
+
+    /// Requests to one address that have not ended.
+    struct AddressRequests {
+        std::set<PendingRequest*> pending;
+        /// Number of those that hold a slot.
+        std::size_t active = 0;
+    };
+
+    /// A request from its wait for a slot to its end.
+    class PendingRequest {
     public:
-        ActiveRequestGuard(std::map<Address, std::size_t>& activeRequests, Address address)
-            : m_activeRequests(activeRequests)
+        PendingRequest(std::map<Address, AddressRequests>& requests, Address address)
+            : m_requests(requests)
             , m_address(std::move(address))
+            , m_siblings(m_requests[m_address])
+        {
+            m_siblings.pending.insert(this);
+        }
+        PendingRequest(const PendingRequest&) = delete;
+        PendingRequest& operator=(const PendingRequest&) = delete;
+        ~PendingRequest()
+        {
+            m_siblings.active -= m_hasSlot ? 1 : 0;
+            m_siblings.pending.erase(this);
+            if (m_siblings.pending.empty())
+                m_requests.erase(m_address);
+        }
+
+        std::size_t activeSiblings() const { return m_siblings.active; }
+        void takeSlot()
         {
-            ++m_activeRequests[m_address];
+            m_hasSlot = true;
+            ++m_siblings.active;
         }
-        ActiveRequestGuard(const ActiveRequestGuard&) = delete;
-        ActiveRequestGuard& operator=(const ActiveRequestGuard&) = delete;
-        ~ActiveRequestGuard()
+        /// Sets the connection that cancel() closes; null for none.
+        void setConnection(Connection* connection) { m_connection = connection; }
+        void cancel()
         {
-            const auto found = m_activeRequests.find(m_address);
-            if (--found->second == 0)
-                m_activeRequests.erase(found);
+            m_isCancelled = true;
+            if (m_connection)
+                m_connection->stream.close();
         }
+        bool isCancelled() const { return m_isCancelled; }
 
     private:
-        std::map<Address, std::size_t>& m_activeRequests;
+        std::map<Address, AddressRequests>& m_requests;
         Address m_address;
+        AddressRequests& m_siblings;
+        Connection* m_connection = nullptr;
+        bool m_hasSlot = false;
+        bool m_isCancelled = false;
     };
 
 } // namespace
@@ -119,13 +152,13 @@
     ConnectionPointer popIdleConnection(const Address& address);
     /// Keeps a connection for reuse, or closes it if enough are idle.
     void pushIdleConnection(const Address& address, ConnectionPointer connection);
-    /// Opens a connection; null on failure.
-    ConnectionPointer connect(const Address& address, Duration timeout);
+    /// Opens a connection for the request; null on failure.
+    ConnectionPointer connect(const Address& address, Duration timeout, PendingRequest& request);
 
     Duty& eventLoop;
     HttpClientLimits limits;
     std::map<Address, std::vector<ConnectionPointer>> idleConnections;
-    std::map<Address, std::size_t> activeRequests;
+    std::map<Address, AddressRequests> requests;
 };
 
 ConnectionPointer HttpClient::State::popIdleConnection(const Address& address)
@@ -149,16 +182,19 @@
         connections.push_back(std::move(connection));
 }
 
-ConnectionPointer HttpClient::State::connect(const Address& address, Duration timeout)
+ConnectionPointer HttpClient::State::connect(const Address& address, Duration timeout, PendingRequest& request)
 {
     auto connection = std::make_unique<Connection>(eventLoop.io());
+    request.setConnection(connection.get());
     const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
     connection->stream.expires_after(timeout);
     const auto connected = awaitIo([&](auto handler) {
         connection->stream.async_connect(endpoint, std::move(handler));
     });
-    if (connected.error)
+    if (connected.error) {
+        request.setConnection(nullptr);
         return nullptr;
+    }
     boost::system::error_code ignored;
     connection->stream.socket().set_option(tcp::no_delay(true), ignored);
     // Closing resets the connection: a request that was given up is not delivered later.
@@ -176,25 +212,37 @@
     m_state->idleConnections.clear();
 }
 
+void HttpClient::cancelRequests(const Address& address)
+{
+    m_state->idleConnections.erase(address);
+    const auto found = m_state->requests.find(address);
+    if (found == m_state->requests.end())
+        return;
+    for (auto* const request : found->second.pending)
+        request->cancel();
+}
+
 HttpClient::~HttpClient() = default;
 
 Result<HttpResponse> HttpClient::call(const Address& address, const HttpRequest& request, const HttpCallOptions& options)
 {
     const auto deadline = Clock::now() + options.timeout;
     const auto sendDeadline = options.sendTimeout.count() > 0 ? std::min(deadline, Clock::now() + options.sendTimeout) : deadline;
-    while (m_state->activeRequests[address] >= m_state->limits.maxRequestsPerAddress) {
-        if (Clock::now() >= sendDeadline)
+    PendingRequest pending(m_state->requests, address);
+    while (pending.activeSiblings() >= m_state->limits.maxRequestsPerAddress) {
+        if (pending.isCancelled() || Clock::now() >= sendDeadline)
             return ErrorKind::NoEndpoint;
         constexpr Milliseconds slotPollInterval { 2 };
         sleepFiber(m_state->eventLoop.io(), slotPollInterval);
     }
-    const ActiveRequestGuard guard(m_state->activeRequests, address);
+    pending.takeSlot();
     auto connection = m_state->popIdleConnection(address);
     if (!connection)
-        connection = m_state->connect(address, sendDeadline - Clock::now());
+        connection = m_state->connect(address, sendDeadline - Clock::now(), pending);
     // The process may have been paused while it waited for a slot or for the connection.
-    if (!connection || Clock::now() >= sendDeadline)
+    if (!connection || pending.isCancelled() || Clock::now() >= sendDeadline)
         return ErrorKind::NoEndpoint;
+    pending.setConnection(connection.get());
 
     auto& stream = connection->stream;
     const auto message = toBeast(address, request);
@@ -219,7 +267,7 @@
         return parser.is_header_done() ? ErrorKind::EndpointFailed : ErrorKind::OutcomeUnknown;
     const bool keepAlive = parser.keep_alive();
     auto response = toResponse(parser.release());
-    if (keepAlive)
+    if (keepAlive && !pending.isCancelled())
         m_state->pushIdleConnection(address, std::move(connection));
     return response;
 }
--- a/lib/Node/Core.h
+++ b/lib/Node/Core.h
@@ -193,6 +193,7 @@
     void run(const cell::StartRun& start);
     void run(const cell::StopRun& stop);
     void run(const cell::BeatVm& heartbeat);
+    void run(const cell::WithdrawCommands& withdrawal);
     void run(const cell::AskAdvice& request);
     void run(const cell::AnswerCall& result);
     void run(const cell::Decision& decision);
--- a/lib/Node/Duties.h
+++ b/lib/Node/Duties.h
@@ -38,6 +38,11 @@
     HttpClient& http() { return m_http; }
     /// Closes idle connections to VMs, because a VM limits the connections of all daemons together.
     void closeIdleVmConnections() { m_vmHttp.dropIdle(); }
+    /// Ends the requests in progress to a VM. Requests of fibers that were run later are not affected.
+    void cancelVmRequests(const Address& address)
+    {
+        runFiber([this, address] { m_vmHttp.cancelRequests(address); });
+    }
 
 private:
     Duty m_eventLoop;
--- a/lib/Node/Messages.h
+++ b/lib/Node/Messages.h
@@ -138,8 +138,11 @@
     /// When the owner sent them, on the recipient's clock as in its latest hello; not later than the real time.
     /// Zero if unknown.
     std::int64_t issuedAtMs = 0;
+    /// Addresses of VMs whose earlier commands are withdrawn, before `orders` are executed. Earlier versions of this
+    /// software ignore it.
+    std::vector<std::string> withdrawn;
 };
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmCommands, fencingToken, orders, issuedAtMs)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(VmCommands, fencingToken, orders, issuedAtMs, withdrawn)
 
 /// Result of a VmCommand.
 struct VmResult {
--- a/lib/Node/Orders.cpp
+++ b/lib/Node/Orders.cpp
@@ -1,6 +1,8 @@
 #include "Core.h"
 #include "DelegatedCommands.h"
 
+#include <set>
+
 namespace heatherchute {
 
 /// A single daemon can send the commands for about this many VMs. In a larger fleet the owner
@@ -47,6 +49,24 @@
     dispatchCommand(std::move(command), {}, heartbeat.wait + platform::orderTimeout);
 }
 
+void NodeCore::run(const cell::WithdrawCommands& withdrawal)
+{
+    // Also where no command is in progress, for the idle connections.
+    std::set<LinkId> senders { 0, delegateFor(withdrawal.vm) };
+    for (const auto& [id, command] : m_commands) {
+        if (command.vm != withdrawal.vm)
+            continue;
+        m_metrics.count("orders", "withdrawn");
+        senders.insert(command.link);
+    }
+    for (const auto link : senders) {
+        if (link == 0)
+            m_components.outbound->cancelVmRequests(withdrawal.address);
+        else
+            m_delegatedCommands[link].withdrawn.push_back(addressText(withdrawal.address));
+    }
+}
+
 LinkId NodeCore::delegateFor(const std::string& vm) const
 {
     if (m_registry.size() <= vmsWithoutDelegates)
@@ -148,6 +168,12 @@
     m_metrics.count("delegated_commands", std::string(commandValidityName(validity)), commands.orders.size());
     if (validity != CommandValidity::Valid)
         logEvent(LogLevel::Warning, "delegated_commands_invalid", { { "why", commandValidityName(validity) }, { "peer", m_peers.at(link).hello.daemon }, { "fencing_token", commands.fencingToken }, { "newest_owner", m_ownerDirectory.newestRevision() }, { "age_ms", commands.issuedAtMs == 0 ? -1 : time - commands.issuedAtMs }, { "first_task", commands.orders.empty() ? std::string() : commands.orders.front().task }, { "commands", commands.orders.size() } });
+    for (const auto& text : validity == CommandValidity::Superseded ? std::vector<std::string>() : commands.withdrawn) {
+        if (const auto address = parseAddress(text))
+            m_components.outbound->cancelVmRequests(address.value());
+        else
+            logEvent(LogLevel::Error, "withdrawal_unreadable", { { "address", text }, { "peer", m_peers.at(link).hello.daemon } });
+    }
     if (validity == CommandValidity::Valid) {
         for (const auto& command : commands.orders) {
             executeCommand(command, { commands.fencingToken, commands.issuedAtMs, nullptr }, [this, link](VmResult result) {
--- a/tools/cell-model/CellModel.cpp
+++ b/tools/cell-model/CellModel.cpp
@@ -120,6 +120,7 @@
     repeat(m_settings.faults.secondsBetweenOwners, [this] { changeOwner(); });
     repeat(m_settings.faults.secondsBetweenOutages, [this] { m_storeDownUntil = m_clock.now() + Milliseconds(std::llround(m_dice.around(3000, 0.5))); });
     repeat(m_settings.faults.secondsBetweenRestarts, [this, anyVm] { restart(anyVm()); });
+    repeat(m_settings.faults.secondsBetweenHeldLinks, [this, anyVm] { holdLink(anyVm()); });
     repeat(m_settings.faults.secondsBetweenEvacuations, [this, anyVm] { evacuate(anyVm().report.failureDomain); });
     repeat(m_settings.faults.secondsBetweenDrains, [this, anyVm] {
         auto& vm = anyVm();
@@ -158,9 +159,11 @@
     if (!m_desk)
         return;
     std::vector<VmReport> reports;
-    for (const auto& [id, vm] : m_vms) {
+    for (auto& [id, vm] : m_vms) {
         if (!vm.isUp && !vm.isRestarting)
             continue;
+        if (vm.isUp && vm.registered.incarnation == vm.report.incarnation && std::exchange(vm.shownTo, m_owner) != m_owner)
+            vm.shownAt = m_clock.now();
         reports.push_back(vm.registered);
         reports.back().draining = vm.report.draining;
     }
@@ -256,6 +259,8 @@
         stop(owner, fence, *ended);
     else if (const auto* const heartbeat = std::get_if<BeatVm>(&action))
         beat(owner, fence, *heartbeat);
+    else if (const auto* const withdrawal = std::get_if<WithdrawCommands>(&action))
+        withdraw(withdrawal->vm);
     else if (const auto* const ask = std::get_if<AskAdvice>(&action))
         advise(owner, *ask);
     else if (const auto* const answer = std::get_if<AnswerCall>(&action))
--- a/tools/cell-model/CellModel.h
+++ b/tools/cell-model/CellModel.h
@@ -61,6 +61,9 @@
     /// Whether it also executes those that a VM executes late, and the share of heartbeats that are executed late.
     bool areLateCommandsInherited = false;
     double lateHeartbeats = 0;
+    /// Mean seconds between periods in which the link of a VM holds up everything, and the VM starts anew behind it.
+    /// When the link is restored, it delivers all that was not reset by its sender. Zero: none.
+    double secondsBetweenHeldLinks = 0;
     /// Mean seconds between evacuations of a failure domain, each for several seconds. Zero: none.
     double secondsBetweenEvacuations = 0;
     /// Mean time from an owner's end to the next one.
@@ -123,6 +126,8 @@
     /// Longest time that a request for advice waited at the service before it was processed.
     Milliseconds longestAdviceWait { 0 };
     std::uint64_t wastedRuns = 0;
+    /// Starts on an incarnation of a VM of which the owner could not know, by commands for the one before.
+    std::uint64_t startsOnLaterIncarnations = 0;
     std::uint64_t unfinished = 0;
     /// What must never happen, in words; empty when all held.
     std::vector<std::string> broken;
@@ -150,6 +155,8 @@
 void addLongRunning(ModelSettings& settings);
 /// Adds quick changes of the owner, each with the restart of a daemon, and many gangs that request advice.
 void addOwnerChanges(ModelSettings& settings);
+/// Adds VMs that start anew as another kind behind a link that holds up commands and delivers them later.
+void addHeldLinks(ModelSettings& settings);
 /// Lets VMs execute commands late, also those for an earlier incarnation.
 void addLateCommands(ModelSettings& settings);
 
--- a/tools/cell-model/Deployments.cpp
+++ b/tools/cell-model/Deployments.cpp
@@ -218,6 +218,15 @@
     settings.queues.push_back(std::move(resident));
 }
 
+void addHeldLinks(ModelSettings& settings)
+{
+    addKindChanges(settings);
+    settings.faults.secondsBetweenRestarts = 0;
+    settings.faults.secondsBetweenHeldLinks = 0.7;
+    settings.faults.areCommandsInherited = true;
+    settings.faults.failedRuns = 0.03;
+}
+
 void addLateCommands(ModelSettings& settings)
 {
     settings.faults.lateOrders = 0.03;
--- a/tools/cell-model/ModelVms.cpp
+++ b/tools/cell-model/ModelVms.cpp
@@ -2,6 +2,9 @@
 
 namespace heatherchute::cell {
 
+/// Time after which the owner gives up a command without a response.
+static constexpr Milliseconds orderTimeout { 700 };
+
 Room ModelVm::used() const
 {
     Room sum;
@@ -150,6 +153,7 @@
     vm.forbidden.clear();
     vm.waiters.clear();
     vm.seenBy = 0;
+    vm.shownTo = 0;
     vm.nextEnd = 1;
     vm.lapsedThrough = 0;
     vm.fence = 0;
@@ -175,6 +179,24 @@
     });
 }
 
+void World::beginIncarnation(ModelVm& vm)
+{
+    vm.isRestarting = false;
+    vm.isUp = true;
+    vm.bornAt = m_clock.now();
+    vm.leaseUntil = TimePoint();
+    vm.report.incarnation += 1000;
+    if (m_settings.faults.doKindsChange)
+        vm.report.labels.at(0) = vm.report.labels.at(0) == "a" ? "b" : "a";
+}
+
+void World::registerVm(ModelVm& vm)
+{
+    vm.registered = vm.report;
+    updateRegistry();
+    pump();
+}
+
 void World::restart(ModelVm& vm)
 {
     constexpr double cutShare = 0.7;
@@ -184,28 +206,26 @@
     goDown(vm);
     vm.isRestarting = true;
     m_clock.after(uniformMs(200, 1500), [this, &vm] {
-        vm.isRestarting = false;
-        vm.isUp = true;
-        vm.bornAt = m_clock.now();
-        vm.leaseUntil = TimePoint();
-        vm.report.incarnation += 1000;
-        if (m_settings.faults.doKindsChange)
-            vm.report.labels.at(0) = vm.report.labels.at(0) == "a" ? "b" : "a";
-        m_clock.after(uniformMs(0, 1500), [this, &vm] {
-            vm.registered = vm.report;
-            updateRegistry();
-            pump();
-        });
+        beginIncarnation(vm);
+        m_clock.after(uniformMs(0, 1500), [this, &vm] { registerVm(vm); });
         if (m_dice.uniform() < cutShare)
             m_clock.after(uniformMs(50, 1500), [this, &vm] { vm.cutUntil = m_clock.now() + uniformMs(4000, 16'000); });
     });
 }
 
-void World::deliver(const std::string& vm, Milliseconds delay, std::function<void(ModelVm&)> execute)
+void World::deliver(const std::string& vm, Milliseconds delay, ModelCommand command)
 {
     /// A command waits for so long in its queue and for its connection.
     constexpr Milliseconds longestDelivery { 1700 };
-    m_clock.after(delay, [this, vm, end = m_clock.now() + longestDelivery, execute = std::move(execute)] { waitForRestart(m_vms.at(vm), end, execute); });
+    m_clock.after(delay, [this, vm, end = m_clock.now() + longestDelivery, withdrawals = m_vms.at(vm).withdrawals, command = std::move(command)] {
+        auto& recipient = m_vms.at(vm);
+        if (m_clock.now() < recipient.heldUntil && withdrawals != recipient.withdrawals)
+            command.giveUp();
+        else if (m_clock.now() < recipient.heldUntil)
+            holdUp(recipient, command);
+        else
+            waitForRestart(recipient, end, command.execute);
+    });
 }
 
 void World::waitForRestart(ModelVm& vm, TimePoint end, std::function<void(ModelVm&)> execute)
@@ -218,9 +238,10 @@
 void World::start(std::uint64_t owner, std::uint64_t fence, const StartRun& order)
 {
     const auto sentAt = m_clock.now();
-    const auto lost = [this, owner, order, sentAt] {
-        toOwner(owner, Milliseconds(700), [this, order, sentAt] { m_desk->onStart({ order.vm, order.task, order.run, StartAnswer::Unknown, sentAt, 0 }, m_clock.deskTime()); });
+    const auto giveUp = [this, owner, order, sentAt](Milliseconds delay) {
+        toOwner(owner, delay, [this, order, sentAt] { m_desk->onStart({ order.vm, order.task, order.run, StartAnswer::Unknown, sentAt, 0 }, m_clock.deskTime()); });
     };
+    const auto lost = [giveUp] { giveUp(orderTimeout); };
     auto delay = wire();
     const bool isLate = m_dice.uniform() < m_settings.faults.lateOrders;
     const bool isLost = isLate || m_dice.uniform() < m_settings.faults.lostAnswers;
@@ -231,22 +252,30 @@
     const auto sentTo = m_vms.at(order.vm).bornAt;
     const bool isSeen = m_vms.at(order.vm).seenBy == owner;
     const bool isInherited = isLate ? m_settings.faults.areLateCommandsInherited : m_settings.faults.areCommandsInherited;
-    deliver(order.vm, delay, [this, owner, fence, order, isLost, lost, sentAt, sentTo, isSeen, isInherited](ModelVm& vm) {
+    const auto execute = [this, owner, fence, order, isLost, isLate, lost, sentAt, sentTo, isSeen, isInherited](ModelVm& vm) {
         const bool isDelivered = isReachable(vm) && (isInherited || vm.bornAt == sentTo);
         if (!isDelivered && !isLost)
             return lost();
         if (!isDelivered)
             return;
-        const auto answer = startAt(vm, fence, order, isSeen && vm.bornAt == sentTo);
+        const bool isIncarnationSeen = (isSeen && vm.bornAt == sentTo) || (!isLate && isKnownTo(owner, vm));
+        const auto startsBefore = m_result.starts;
+        const auto answer = startAt(vm, fence, order, isIncarnationSeen);
+        m_result.startsOnLaterIncarnations += isIncarnationSeen || vm.bornAt == sentTo ? 0 : m_result.starts - startsBefore;
         trace(startAnswerName(answer), "start " + taskText(order.task) + " run " + std::to_string(order.run) + " on " + order.vm + " fence " + std::to_string(fence));
         if (!isLost)
             toOwner(owner, wire(), [this, order, answer, sentAt, clockMs = vm.clockMs(m_clock.now())] { m_desk->onStart({ order.vm, order.task, order.run, answer, sentAt, clockMs }, m_clock.deskTime()); });
-    });
+    };
+    const auto giveUpHeld = [isLost, giveUp] {
+        if (!isLost)
+            giveUp(Milliseconds(0));
+    };
+    deliver(order.vm, delay, { sentAt + delay + orderTimeout, execute, giveUpHeld });
 }
 
 void World::stop(std::uint64_t owner, std::uint64_t fence, const StopRun& order)
 {
-    deliver(order.vm, wire(), [this, owner, fence, order](ModelVm& vm) {
+    const auto execute = [this, owner, fence, order](ModelVm& vm) {
         const bool isReached = isReachable(vm);
         const bool isFenced = isReached && fence < vm.fence;
         if (isReached && !isFenced) {
@@ -261,12 +290,16 @@
                 });
             }
         }
-        toOwner(owner, isReached ? wire() : Milliseconds(700), [this, order, isReached, isFenced] {
+        toOwner(owner, isReached ? wire() : orderTimeout, [this, order, isReached, isFenced] {
             const auto answer = isFenced ? StopAnswer::Fenced : isReached ? StopAnswer::Stopped
                                                                           : StopAnswer::Unknown;
             m_desk->onStop(order.vm, order.task, order.run, answer, m_clock.deskTime());
         });
-    });
+    };
+    const auto giveUp = [this, owner, order] {
+        toOwner(owner, Milliseconds(0), [this, order] { m_desk->onStop(order.vm, order.task, order.run, StopAnswer::Unknown, m_clock.deskTime()); });
+    };
+    deliver(order.vm, wire(), { m_clock.now() + orderTimeout, execute, giveUp });
 }
 
 void World::acknowledge(ModelVm& vm, std::uint64_t number)
@@ -307,7 +340,7 @@
             executeHeartbeat(vm, fence, order);
     });
     const BeatAnswer answer { order.vm, m_clock.now(), false, std::nullopt };
-    toOwner(owner, order.wait + Milliseconds(700), [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+    toOwner(owner, order.wait + orderTimeout, [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
 }
 
 void World::beat(std::uint64_t owner, std::uint64_t fence, const BeatVm& order)
@@ -315,10 +348,10 @@
     if (m_settings.faults.lateHeartbeats > 0 && m_dice.uniform() < m_settings.faults.lateHeartbeats)
         return beatLate(owner, fence, order);
     const auto sentAt = m_clock.now();
-    deliver(order.vm, wire(), [this, owner, fence, order, sentAt](ModelVm& vm) {
+    const auto execute = [this, owner, fence, order, sentAt](ModelVm& vm) {
         BeatAnswer answer { order.vm, sentAt, false, std::nullopt };
         if (!isReachable(vm)) {
-            toOwner(owner, Milliseconds(700), [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+            toOwner(owner, orderTimeout, [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
             return;
         }
         if (fence < vm.fence) {
@@ -332,7 +365,7 @@
             if (std::exchange(*isAnswered, true))
                 return;
             if (!isReachable(vm) || vm.bornAt != bornAt) {
-                toOwner(owner, Milliseconds(700), [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+                toOwner(owner, orderTimeout, [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
                 return;
             }
             VmState state { vm.clockMs(m_clock.now()), vm.report.incarnation, {}, vm.finished };
@@ -340,7 +373,8 @@
                 state.running.push_back({ task, run.run, run.checkpoint, 100 });
             answer.state = state;
             toOwner(owner, wire(), [this, &vm, owner, answer] {
-                if (vm.report.incarnation == answer.state->incarnation)
+                // A VM that is down keeps the number of its last incarnation until it is back.
+                if (vm.isUp && vm.report.incarnation == answer.state->incarnation)
                     vm.seenBy = owner;
                 m_desk->onBeat(answer, m_clock.deskTime());
             });
@@ -349,7 +383,11 @@
             return reply();
         vm.waiters.emplace_back(reply);
         m_clock.after(order.wait, reply);
-    });
+    };
+    const auto giveUp = [this, owner, order, sentAt] {
+        toOwner(owner, Milliseconds(0), [this, order, sentAt] { m_desk->onBeat({ order.vm, sentAt, false, std::nullopt }, m_clock.deskTime()); });
+    };
+    deliver(order.vm, wire(), { sentAt + order.wait + orderTimeout, execute, giveUp });
 }
 
 } // namespace heatherchute::cell
--- a/tools/cell-model/World.h
+++ b/tools/cell-model/World.h
@@ -67,6 +67,17 @@
     bool isWorking = false;
 };
 
+struct ModelVm;
+
+/// A command on its way to a VM.
+struct ModelCommand {
+    /// When its sender gives it up.
+    TimePoint expiresAt;
+    std::function<void(ModelVm&)> execute;
+    /// Tells the owner that there was no response.
+    std::function<void()> giveUp;
+};
+
 /// A VM, as the platform's pages describe one; naive and separate from the desk's idea of it.
 struct ModelVm {
     VmReport report;
@@ -75,11 +86,19 @@
     /// While it is down for a quick restart.
     bool isRestarting = false;
     TimePoint cutUntil;
+    /// Until then the VM's link holds up commands, which are in `heldCommands`, and its responses are lost.
+    TimePoint heldUntil;
+    std::vector<std::shared_ptr<ModelCommand>> heldCommands;
+    /// Number of times that its commands were withdrawn.
+    std::uint64_t withdrawals = 0;
     TimePoint bornAt;
     /// What the registry shows.
     VmReport registered;
     /// Number of the owner that has had a response of the present incarnation.
     std::uint64_t seenBy = 0;
+    /// Number of the owner to which the registry has shown the present incarnation, and when.
+    std::uint64_t shownTo = 0;
+    TimePoint shownAt;
     double clockRate = 1;
     std::uint64_t life = 1;
     std::uint64_t fence = 0;
@@ -188,16 +207,29 @@
     void goDown(ModelVm& vm);
     void crash(ModelVm& vm, bool isBack);
     void restart(ModelVm& vm);
+    /// Lets a VM that is down for a restart respond again.
+    void beginIncarnation(ModelVm& vm);
+    /// Lets the registry show the present incarnation.
+    void registerVm(ModelVm& vm);
     /// Delivers a command after `delay`; a VM that is down for a restart may get it when it is back.
-    void deliver(const std::string& vm, Milliseconds delay, std::function<void(ModelVm&)> execute);
+    void deliver(const std::string& vm, Milliseconds delay, ModelCommand command);
     void waitForRestart(ModelVm& vm, TimePoint end, std::function<void(ModelVm&)> execute);
+    /// Lets the VM start anew behind a link that holds up commands.
+    void holdLink(ModelVm& vm);
+    void holdUp(ModelVm& vm, ModelCommand command);
+    /// Delivers what the link has held up.
+    void releaseLink(ModelVm& vm);
+    /// The owner resets the connections of its commands to the VM.
+    void withdraw(const std::string& vm);
+    /// Returns true if the owner has had the time to withdraw commands for the VM's earlier incarnation.
+    bool isKnownTo(std::uint64_t owner, const ModelVm& vm) const;
     void executeHeartbeat(ModelVm& vm, std::uint64_t fence, const BeatVm& order);
     /// Executes a heartbeat late and gives the owner no response.
     void beatLate(std::uint64_t owner, std::uint64_t fence, const BeatVm& order);
     void checkStart(const ModelVm& vm, const StartRun& order, bool isIncarnationSeen);
     void broken(const std::string& text);
     void toOwner(std::uint64_t owner, Milliseconds delay, std::function<void()> action);
-    bool isReachable(const ModelVm& vm) const { return vm.isUp && m_clock.now() >= vm.cutUntil; }
+    bool isReachable(const ModelVm& vm) const { return vm.isUp && m_clock.now() >= std::max(vm.cutUntil, vm.heldUntil); }
     void finishJobs();
     /// Returns true if the job is not expected to end: a long-running one, or one with a gang that does not
     /// fit beside these.
--- a/tools/heatherchute-lab/main.cpp
+++ b/tools/heatherchute-lab/main.cpp
@@ -25,7 +25,8 @@
 {
     std::cout << name << ", seed " << seed << ": " << result.starts << " starts, " << result.commits << " commits, " << result.adviceCalls << " advice calls, "
               << result.overdueAdvice << " of them overdue, longest wait " << result.longestAdviceWait.count() << " ms, "
-              << result.wastedRuns << " runs not done; pass mean " << std::fixed << std::setprecision(0) << result.meanPassUs << " us, p99 " << result.passP99Us << " us, longest " << result.longestPassUs << " us\n";
+              << result.wastedRuns << " runs not done, "
+              << result.startsOnLaterIncarnations << " started on later incarnations; pass mean " << std::fixed << std::setprecision(0) << result.meanPassUs << " us, p99 " << result.passP99Us << " us, longest " << result.longestPassUs << " us\n";
     for (const auto& [queue, row] : result.queues) {
         std::cout << "  " << std::left << std::setw(10) << queue << std::right << " jobs " << std::setw(6) << row.jobs << "  in objective " << std::setprecision(3)
                   << (row.jobs ? static_cast<double>(row.inObjective) / static_cast<double>(row.jobs) : 0) << "  worth " << (row.worthOwed > 0 ? row.worthEarned / row.worthOwed : 0)
@@ -57,6 +58,7 @@
     add("evacuations", "failure domains that are evacuated and taken back, beside new owners, crashes and drains");
     add("owner-changes", "quick changes of the owner, each with the restart of a daemon, and many gangs");
     add("long-running", "long-running tasks on all VMs, and gangs that do not fit beside these");
+    add("held-links", "VMs that start anew as another kind behind a link that holds up commands and delivers them later");
     add("late-commands", "VMs that execute commands late, also after a restart");
     options::variables_map values;
     try {
@@ -93,6 +95,8 @@
                 addOwnerChanges(settings);
             if (values.count("long-running"))
                 addLongRunning(settings);
+            if (values.count("held-links"))
+                addHeldLinks(settings);
             if (values.count("late-commands"))
                 addLateCommands(settings);
             const auto result = playModel(settings);
--- a/unittests/Cell/CellModelTest.cpp
+++ b/unittests/Cell/CellModelTest.cpp
@@ -152,6 +152,13 @@
         checkInvariants("workshop", seed, addKindChanges);
 }
 
+// Guards against commands that a link holds up and delivers to the next incarnation of their VM.
+TEST_CASE("Commands that a link holds up do not reach a later incarnation of which the registry has told")
+{
+    for (const std::uint64_t seed : { 1, 2, 3 })
+        checkInvariants("workshop", seed, addHeldLinks);
+}
+
 TEST_CASE("While the store is unavailable, submissions are rejected promptly and not accepted later")
 {
     CellDesk scheduler({}, TimePoint());
--- a/unittests/Cell/IncarnationTest.cpp
+++ b/unittests/Cell/IncarnationTest.cpp
@@ -44,6 +44,8 @@
                     heartbeats.push_back(*heartbeat);
                 else if (const auto* const decision = std::get_if<Decision>(&action))
                     events.insert(std::string(decision->event));
+                else if (std::holds_alternative<WithdrawCommands>(action))
+                    ++withdrawals;
                 isCommitted = isCommitted || std::holds_alternative<CommitState>(action);
             }
             if (isCommitted && !isStoreSilent)
@@ -77,6 +79,7 @@
     std::vector<StartRun> starts;
     std::vector<StopRun> stops;
     std::vector<BeatVm> heartbeats;
+    int withdrawals = 0;
     /// While set, commits get no response.
     bool isStoreSilent = false;
     std::set<std::string> events;
@@ -229,3 +232,133 @@
     cell.step(50);
     CHECK(cell.starts.empty());
 }
+
+// Guards against commands that a cut link holds up and delivers to the next incarnation of their VM.
+TEST_CASE("Commands without a response are withdrawn as soon as another incarnation of their VM is known")
+{
+    ScriptedCell cell;
+    cell.answerHeartbeat(cell.now.steady, 50'000, 1);
+    cell.submitForKind(jobId, "a");
+    cell.step(20);
+    REQUIRE(cell.starts.size() == 1);
+    REQUIRE(cell.withdrawals == 0);
+    SECTION("from the registry")
+    {
+        const auto heartbeats = cell.heartbeats.size();
+        const auto sentAt = cell.now.steady - Milliseconds(10);
+        cell.registerVm(2, "b");
+        cell.step(1);
+        CHECK(cell.withdrawals == 1);
+        REQUIRE(cell.heartbeats.size() == heartbeats);
+        // The withdrawn heartbeat is not a missed one, and the next is sent at once.
+        cell.desk.onBeat({ "vm-0", sentAt, false, std::nullopt }, cell.now);
+        cell.step(1);
+        REQUIRE(cell.heartbeats.size() == heartbeats + 1);
+        CHECK(cell.heartbeats.back().acknowledged == 0);
+        cell.registerVm(2, "b");
+        cell.step(1);
+        CHECK(cell.withdrawals == 1);
+    }
+    SECTION("from a heartbeat")
+    {
+        cell.answerHeartbeat(cell.now.steady, 500, 2);
+        cell.step(1);
+        CHECK(cell.withdrawals == 1);
+        // The registry lags behind, and shows what is known then.
+        cell.registerVm(2, "b");
+        cell.step(1);
+        CHECK(cell.withdrawals == 1);
+    }
+    SECTION("from the clock in the response to a start")
+    {
+        cell.desk.onStart({ "vm-0", cell.starts[0].task, cell.starts[0].run, StartAnswer::Started, cell.now.steady, 30 }, cell.now);
+        cell.step(1);
+        CHECK(cell.withdrawals == 1);
+    }
+}
+
+TEST_CASE("An entry of the known incarnation, or of the first one, withdraws no commands")
+{
+    ScriptedCell cell;
+    cell.registerVm(1);
+    cell.answerHeartbeat(cell.now.steady, 50'000, 1);
+    cell.submitForKind(jobId, "a");
+    cell.step(20);
+    REQUIRE(cell.starts.size() == 1);
+    cell.registerVm(1);
+    cell.step(1);
+    CHECK(cell.withdrawals == 0);
+}
+
+// Guards against starts that pile up at a VM that responds to none.
+TEST_CASE("A VM whose start commands are overdue gets no further runs until it responds")
+{
+    ScriptedCell cell;
+    cell.answerHeartbeat(cell.now.steady, 50'000, 1);
+    const auto answer = [&cell](const StartRun& start) {
+        cell.desk.onStart({ "vm-0", start.task, start.run, StartAnswer::Started, cell.now.steady, 0 }, cell.now);
+    };
+    cell.submitForKind("first", "a");
+    cell.step(6);
+    REQUIRE(cell.starts.size() == 1);
+    answer(cell.starts[0]);
+    // One start command without a response is no reason to avoid a VM: the response may be lost.
+    cell.submitForKind("second", "a");
+    cell.step(40);
+    cell.submitForKind("third", "a");
+    cell.step(6);
+    REQUIRE(cell.starts.size() == 3);
+    CHECK(cell.events.contains("vm_starts_overdue"));
+    cell.submitForKind("fourth", "a");
+    cell.step(20);
+    CHECK(cell.starts.size() == 3);
+    answer(cell.starts[2]);
+    cell.step(10);
+    REQUIRE(cell.starts.size() == 4);
+    CHECK(cell.starts[3].task.job == "fourth");
+}
+
+TEST_CASE("At a VM whose start commands are overdue, one command is repeated at a time")
+{
+    ScriptedCell cell;
+    cell.answerHeartbeat(cell.now.steady, 50'000, 1);
+    cell.desk.submit(1, jobId, "queue", "team", makeJob(4), cell.now);
+    cell.step(10);
+    REQUIRE(cell.starts.size() == 4);
+    cell.step(75);
+    for (const auto& start : std::vector<StartRun>(cell.starts))
+        cell.desk.onStart({ "vm-0", start.task, start.run, StartAnswer::Unknown, cell.now.steady, 0 }, cell.now);
+    cell.step(30);
+    CHECK(cell.starts.size() == 5);
+    cell.desk.onStart({ "vm-0", cell.starts[4].task, cell.starts[4].run, StartAnswer::Started, cell.now.steady, 0 }, cell.now);
+    cell.step(2);
+    CHECK(cell.starts.size() == 8);
+}
+
+TEST_CASE("Start commands at a slow VM are overdue only beyond its usual response time")
+{
+    StartResponsiveness starts;
+    TimePoint now { Seconds(100) };
+    CHECK(starts.bound() == StartResponsiveness::longestBound);
+    for (int i = 0; i < 30; ++i) {
+        starts.onSent(now);
+        starts.onSent(now);
+        now += Milliseconds(400);
+        CHECK_FALSE(starts.isOverdue(now));
+        starts.onAnswered(now - Milliseconds(400), now);
+    }
+    CHECK(starts.bound() >= Milliseconds(400));
+    for (int i = 0; i < 60; ++i) {
+        starts.onSent(now);
+        now += Milliseconds(5);
+        starts.onAnswered(now - Milliseconds(5), now);
+    }
+    CHECK(starts.bound() == StartResponsiveness::shortestBound);
+    starts.onSent(now);
+    // Later start commands do not extend the wait for the first one.
+    starts.onSent(now + Milliseconds(200));
+    CHECK_FALSE(starts.isOverdue(now + Milliseconds(250)));
+    CHECK(starts.isOverdue(now + Milliseconds(251)));
+    starts.onResponse();
+    CHECK_FALSE(starts.isOverdue(now + Milliseconds(251)));
+}
--- a/unittests/Http/HttpTest.cpp
+++ b/unittests/Http/HttpTest.cpp
@@ -213,6 +213,80 @@
     CHECK(received == 1);
 }
 
+// Guards against requests that a link holds up and delivers after the client has no use for them any more.
+TEST_CASE("cancelled requests end at once, reset their connection and do not take a slot", "[http]")
+{
+    std::atomic<int> received = 0;
+    std::function<void()> hold;
+    ClientServerPair pair([&](HttpRequest&& request) {
+        ++received;
+        if (request.target == "/held")
+            hold();
+        return HttpResponse { 200, {}, {}, {} };
+    });
+    constexpr Milliseconds responseTime { 1000 };
+    std::atomic<bool> isHeld = false;
+    hold = [&] {
+        isHeld = true;
+        sleepFiber(pair.serverLoop.io(), responseTime);
+        isHeld = false;
+    };
+    pair.client = std::make_unique<HttpClient>(pair.clientLoop, HttpClientLimits { .maxRequestsPerAddress = 1 });
+    Result<HttpResponse> sent = ErrorKind::Internal;
+    Result<HttpResponse> waiting = ErrorKind::Internal;
+    Result<HttpResponse> later = ErrorKind::Internal;
+    Duration elapsed { 0 };
+    pair.run([&] {
+        const Address server { "127.0.0.1", pair.server.port() };
+        const auto begin = Clock::now();
+        auto first = boost::fibers::async([&] { sent = pair.client->call(server, { "GET", "/held", {}, {} }, {}); });
+        sleepFiber(pair.clientLoop.io(), Milliseconds(50));
+        auto second = boost::fibers::async([&] { waiting = pair.client->call(server, { "GET", "/waits", {}, {} }, {}); });
+        sleepFiber(pair.clientLoop.io(), Milliseconds(20));
+        pair.client->cancelRequests(server);
+        first.get();
+        second.get();
+        elapsed = Clock::now() - begin;
+        // The server's event loop stops only after its handlers.
+        while (isHeld)
+            sleepFiber(pair.clientLoop.io(), Milliseconds(10));
+        later = pair.client->call(server, { "GET", "/later", {}, {} }, {});
+    });
+    CHECK(errorKind(sent.error()) == ErrorKind::OutcomeUnknown);
+    CHECK(errorKind(waiting.error()) == ErrorKind::NoEndpoint);
+    CHECK(elapsed < responseTime);
+    CHECK(later);
+    CHECK(received == 2);
+}
+
+TEST_CASE("cancelling a request that waits for its connection gives NoEndpoint", "[http]")
+{
+    ClientServerPair pair([](HttpRequest&&) { return HttpResponse {}; });
+    // With its queue of new connections full, a listener leaves further ones without a response.
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor full(io, boost::asio::ip::tcp::v4());
+    full.bind({ boost::asio::ip::make_address("127.0.0.1"), 0 });
+    full.listen(0);
+    std::vector<boost::asio::ip::tcp::socket> queued;
+    for (int i = 0; i < 4; ++i) {
+        auto& socket = queued.emplace_back(io, boost::asio::ip::tcp::v4());
+        socket.async_connect(full.local_endpoint(), [](const auto&) {});
+    }
+    Result<HttpResponse> result = ErrorKind::Internal;
+    Duration elapsed { 0 };
+    pair.run([&] {
+        const Address server { "127.0.0.1", full.local_endpoint().port() };
+        const auto begin = Clock::now();
+        auto call = boost::fibers::async([&] { result = pair.client->call(server, {}, {}); });
+        sleepFiber(pair.clientLoop.io(), Milliseconds(50));
+        pair.client->cancelRequests(server);
+        call.get();
+        elapsed = Clock::now() - begin;
+    });
+    CHECK(errorKind(result.error()) == ErrorKind::NoEndpoint);
+    CHECK(elapsed < Milliseconds(1000));
+}
+
 TEST_CASE("a missing response gives OutcomeUnknown, and a refused connection gives NoEndpoint", "[http]")
 {
     ClientServerPair pair([](HttpRequest&& request) {
--- a/unittests/Node/MessagesTest.cpp
+++ b/unittests/Node/MessagesTest.cpp
@@ -27,7 +27,7 @@
     beat.outcome = platform::OrderOutcome::Done;
     beat.state = cell::VmState { 5, 7, { { { "j", 0, 0, 1 }, 2, "c", 0 } }, { { 3, { "j", 0, 0, 2 }, 1, cell::RunEnd::Done, "" } } };
     const VmResult started { 4, platform::OrderOutcome::Unknown, cell::StartAnswer::Started, std::nullopt, 72'000 };
-    return { PeerHello { "a", "z", "i", 4, true, "10.0.0.1:7", 9, 0.5, "10.0.0.2:7", 12, 70'000 }, submission, VmCommands { 9, { start }, 71'000 }, VmResults { { beat, started } }, AdviceRequest { 1, "j.0.0", { "i-1" }, 500, 120 }, AdviceResponse { 1, true, { { "i-1", "ticket" } }, 1500, false, 250, "j.0.0", { "i-1", "i-2" } } };
+    return { PeerHello { "a", "z", "i", 4, true, "10.0.0.1:7", 9, 0.5, "10.0.0.2:7", 12, 70'000 }, submission, VmCommands { 9, { start }, 71'000, { "10.0.0.8:80" } }, VmResults { { beat, started } }, AdviceRequest { 1, "j.0.0", { "i-1" }, 500, 120 }, AdviceResponse { 1, true, { { "i-1", "ticket" } }, 1500, false, 250, "j.0.0", { "i-1", "i-2" } } };
 }
 
 /// Encodes a message of the kind with this number.
@@ -47,6 +47,16 @@
     }
 }
 
+TEST_CASE("Commands of a version that withdraws none are decoded")
+{
+    Json payload = std::get<VmCommands>(someMessages()[2]);
+    payload.erase("withdrawn");
+    const auto decoded = decodePeerMessage(encodeTagged(6, payload));
+    REQUIRE(decoded);
+    CHECK(std::get<VmCommands>(decoded.value()).withdrawn.empty());
+    CHECK(std::get<VmCommands>(decoded.value()).orders.size() == 1);
+}
+
 TEST_CASE("Messages with values out of their bounds are refused")
 {
     const auto request = [](const Json& changes) {
