Count the memory of tasks that run on idle processor time

Cause: the platform leaves the processor request of such tasks out of a VM's capacity, and the cell left out the whole request: at the placement, in the check of free capacity, and for runs that an owner takes over. Nothing was counted against the team's limit either.

Ruled out: late or lost ends; the order of the VMs, which decides only which one is overcommitted.

Change: StepSpec::needOnVm() says what a task takes of its VM, and all uses ask it; the team's limit takes the whole request. These tasks leave the memory free that urgent tasks used lately. What is stored has not changed. The lab has such tasks (--idle-room).

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -413,8 +413,8 @@
     /// Placements that need a start or stop command, now or later.
     std::set<TaskId> m_pendingCommands;
     std::map<std::string, Room> m_teamUsage;
-    /// Processor capacity in use by tasks of the highest-priority queues, by service.
-    std::map<std::string, std::int64_t> m_urgentCpuMilli;
+    /// Resources in use by tasks of the highest-priority queues, by service.
+    std::map<std::string, Room> m_urgentUsage;
     TimePoint m_nextVmCheckAt;
     /// Running mean of the share of requested VMs that the advice service permits, by queue.
     std::map<std::string, double> m_permittedShare;
@@ -447,8 +447,12 @@
     std::int64_t m_capacityCpuMilli = 0;
     /// Reservation periods by service.
     std::map<std::string, ReservationPeriod> m_reservationPeriods;
-    /// Decaying peak of the demand of a service's highest-priority queues, in thousandths of a core.
-    std::map<std::string, double> m_urgentPeak;
+    /// Decaying peaks of the demand of a service's highest-priority queues.
+    struct DemandPeak {
+        double cpuMilli = 0;
+        double memoryMb = 0;
+    };
+    std::map<std::string, DemandPeak> m_urgentPeak;
     TimePoint m_urgentPeakAt;
     bool m_isOwnershipConfirmed = true;
     bool m_commitInFlight = false;
--- a/include/heatherchute/CellState.h
+++ b/include/heatherchute/CellState.h
@@ -121,7 +121,9 @@
     std::uint32_t run = 0;
     std::string vm;
     std::int64_t incarnation = 0;
+    /// Resources that the run takes of its VM's capacity, and of its team's limit.
     Room need;
+    Room teamNeed;
     std::string team;
     std::string ticket;
     TimePoint ticketExpiresAt = TimePoint::max();
@@ -247,8 +249,10 @@
     std::optional<TaskId> reservedFor;
     /// Some gang waits for the next round of reservations.
     bool isNextRoundWanted = false;
-    /// Processor capacity reserved for the queues of the highest priority.
+    /// Capacity reserved for the queues of the highest priority. Only tasks that run on idle processor time have to
+    /// leave the memory free: the reserve of processor capacity limits the number of all others.
     std::int64_t reservedCpuMilli = 0;
+    std::int64_t reservedMemoryMb = 0;
 };
 
 } // namespace heatherchute::cell
--- a/include/heatherchute/Work.h
+++ b/include/heatherchute/Work.h
@@ -39,7 +39,7 @@
 /// A group of identical tasks of one job.
 struct StepSpec {
     std::uint32_t tasks = 0;
-    /// Resources of one task.
+    /// Resources that one task requests. They count against the limit of its team.
     Room need;
     /// The caller's estimate of the run time of one task, in milliseconds.
     std::int64_t estimateMs = 0;
@@ -55,7 +55,8 @@
     bool speculative = false;
     /// Runs until the job is cancelled.
     bool longRunning = false;
-    /// Uses only spare capacity of the VM, so it does not count against the VM's capacity.
+    /// The tasks run on the processor time that others leave idle, so that their processor request does not count
+    /// against the VM's capacity. Their memory and accelerators do.
     bool usesIdleRoom = false;
     std::string requiredLabel;
     /// Rack that holds the data; the tasks run slower elsewhere.
@@ -68,6 +69,9 @@
     std::int64_t tailTargetMs = 0;
     /// Maximum number of long-running tasks that the scheduler may make unavailable at the same time.
     std::uint32_t maxUnavailable = 0;
+
+    /// Resources that one task takes of its VM's capacity.
+    Room needOnVm() const { return { usesIdleRoom ? 0 : need.cpuMilli, need.memoryMb, need.accelerators }; }
 };
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(StepSpec, tasks, need, estimateMs, after, checkpointing, gang, sameRack, speculative, longRunning,
     usesIdleRoom, requiredLabel, preferredRack, maxTasksPerVm, image, tailTargetMs, maxUnavailable)
--- a/lib/Cell/Advice.cpp
+++ b/lib/Cell/Advice.cpp
@@ -21,7 +21,7 @@
         const auto vm = m_vms.find(id);
         if (vm == m_vms.end())
             continue;
-        const auto reserved = ready.spec->need * tasks;
+        const auto reserved = ready.spec->needOnVm() * tasks;
         if (sign > 0)
             vm->second.ticketReserved += reserved;
         else
@@ -73,7 +73,8 @@
     /// Pause after a request that did not lead to a start.
     constexpr Milliseconds requestPause { 300 };
     auto& advice = ready.step->advice;
-    const auto total = ready.spec->need * ready.waitingTasks.size();
+    const auto total = ready.spec->needOnVm() * ready.waitingTasks.size();
+    const auto ofTeam = ready.spec->gang ? ready.spec->need * ready.waitingTasks.size() : ready.spec->need;
     const bool hasTickets = std::any_of(advice.allowed.begin(), advice.allowed.end(), [&](const auto& entry) { return entry.second.validUntil > now.steady; });
     // A gang that will not fit even once the runs of limited duration have ended leaves the free capacity to the
     // following steps.
@@ -88,8 +89,8 @@
     // A gang for which no VMs can be reserved yet first has to learn where it may run at all.
     const bool isExploratory = ready.spec->gang && advice.allowed.empty() && advice.denied.empty();
     // A ticket is wasted if it expires before the step can be placed.
-    const bool isPlaceableSoon = hasReservation || isExploratory || (service.free.cpuMilli > 0 && service.free.memoryMb >= 0);
-    if (!isPlaceableSoon || !isWithinQuota(*ready.job, ready.spec->gang ? total : ready.spec->need))
+    const bool isPlaceableSoon = hasReservation || isExploratory || ((service.free.cpuMilli > 0 || ready.spec->usesIdleRoom) && service.free.memoryMb >= 0);
+    if (!isPlaceableSoon || !isWithinQuota(*ready.job, ofTeam))
         return;
     const auto isKnown = [&](const Vm* vm) { return advice.allowed.contains(vm->report.id); };
     const auto known = m_permittedShare.find(ready.job->queue);
--- a/lib/Cell/Placing.cpp
+++ b/lib/Cell/Placing.cpp
@@ -137,15 +137,14 @@
 {
     constexpr std::size_t unlimited = 1000;
     auto slots = unlimited;
-    if (!ready.spec->usesIdleRoom) {
-        const auto limitBy = [&slots](std::int64_t free, std::int64_t need) {
-            if (need > 0)
-                slots = std::min(slots, static_cast<std::size_t>(std::max<std::int64_t>(0, free / need)));
-        };
-        limitBy(available.cpuMilli, ready.spec->need.cpuMilli);
-        limitBy(available.memoryMb, ready.spec->need.memoryMb);
-        limitBy(available.accelerators, ready.spec->need.accelerators);
-    }
+    const auto limitBy = [&slots](std::int64_t free, std::int64_t need) {
+        if (need > 0)
+            slots = std::min(slots, static_cast<std::size_t>(std::max<std::int64_t>(0, free / need)));
+    };
+    const auto need = ready.spec->needOnVm();
+    limitBy(available.cpuMilli, need.cpuMilli);
+    limitBy(available.memoryMb, need.memoryMb);
+    limitBy(available.accelerators, need.accelerators);
     if (slots > 0 && ready.spec->maxTasksPerVm > 0) {
         const auto placed = tasksOn(vm, ready.id);
         slots = std::min<std::size_t>(slots, placed < ready.spec->maxTasksPerVm ? ready.spec->maxTasksPerVm - placed : 0);
@@ -158,7 +157,7 @@
     auto available = vm.report.capacity - vm.used - vm.ticketReserved;
     const auto own = ready.step->advice.ticketReservations.find(vm.report.id);
     if (own != ready.step->advice.ticketReservations.end())
-        available += ready.spec->need * own->second;
+        available += ready.spec->needOnVm() * own->second;
     return slotsIn(available, vm, ready);
 }
 
@@ -179,7 +178,8 @@
     placement.run = run;
     placement.vm = vm.report.id;
     placement.incarnation = vm.incarnation;
-    placement.need = ready.spec->usesIdleRoom ? Room {} : ready.spec->need;
+    placement.need = ready.spec->needOnVm();
+    placement.teamNeed = ready.spec->need;
     placement.team = ready.job->team;
     placement.priority = ready.queue ? ready.queue->priority : 0;
     placement.isLongRunning = ready.spec->longRunning;
@@ -242,7 +242,7 @@
 
 void CellDesk::placeStep(const ReadyStep& ready, ServiceCapacity& service, Now now)
 {
-    if (!ready.spec->usesIdleRoom && !ready.spec->need.fitsIn(service.largestFree))
+    if (!ready.spec->needOnVm().fitsIn(service.largestFree))
         return;
     auto vms = fittingVms(ready, service, now);
     if (vms.empty())
@@ -251,16 +251,13 @@
     // Those that are reserved for a gang come last.
     if (service.reservedFor != ready.id)
         std::stable_partition(vms.begin(), vms.end(), [&service](const Vm* vm) { return !service.reservedVms.contains(vm); });
-    const auto keepsReserve = [&](std::size_t tasks) {
-        return ready.mayUseReserve() || service.free.cpuMilli - static_cast<std::int64_t>(tasks) * ready.spec->need.cpuMilli >= service.reservedCpuMilli;
-    };
     std::uint32_t lastRun = 0;
     if (ready.spec->gang) {
         std::size_t slots = 0;
         for (const auto* const vm : vms)
             slots += slotsOn(*vm, ready);
-        const auto total = ready.spec->need * ready.waitingTasks.size();
-        if (slots < ready.waitingTasks.size() || !keepsReserve(ready.waitingTasks.size()) || !isWithinQuota(*ready.job, total))
+        const auto tasks = ready.waitingTasks.size();
+        if (slots < tasks || !ready.keepsReserve(service, tasks) || !isWithinQuota(*ready.job, ready.spec->need * tasks))
             return;
         for (const auto& task : ready.step->tasks)
             lastRun = std::max(lastRun, task.run);
@@ -269,11 +266,10 @@
     for (const auto index : ready.waitingTasks) {
         while (vm != vms.end() && slotsOn(**vm, ready) == 0)
             ++vm;
-        const bool isBlocked = vm == vms.end() || !isWithinQuota(*ready.job, ready.spec->need) || (!ready.spec->gang && !keepsReserve(1));
+        const bool isBlocked = vm == vms.end() || !isWithinQuota(*ready.job, ready.spec->need) || (!ready.spec->gang && !ready.keepsReserve(service, 1));
         if (isBlocked)
             return;
-        if (!ready.spec->usesIdleRoom)
-            service.free -= ready.spec->need;
+        service.free -= ready.spec->needOnVm();
         placeTask(ready, index, (ready.spec->gang ? lastRun : ready.step->tasks[index].run) + 1, **vm, now);
     }
 }
@@ -285,7 +281,7 @@
     /// Maximum share of a service's capacity that is reserved for urgent tasks.
     constexpr double maxReservedShare = 0.3;
     std::map<std::string, ServiceCapacity> services;
-    std::map<std::string, double> urgentDemand;
+    std::map<std::string, Room> urgentDemand;
     ServiceCapacity* current = nullptr;
     const std::string* currentName = nullptr;
     for (auto& [id, vm] : m_vms) {
@@ -310,16 +306,21 @@
     for (const auto& ready : steps) {
         const bool isUrgent = ready.queue && ready.queue->priority == 0 && !ready.job->isAboveTeamRate && !ready.hasNoValue;
         if (isUrgent)
-            urgentDemand[ready.queue->service] += static_cast<double>(ready.spec->need.cpuMilli) * static_cast<double>(ready.waitingTasks.size());
+            urgentDemand[ready.queue->service] += ready.spec->needOnVm() * ready.waitingTasks.size();
     }
     const auto decay = std::exp2(-std::chrono::duration<double>(now.steady - m_urgentPeakAt).count() / halfLifeSeconds);
     m_urgentPeakAt = now.steady;
     for (auto& [name, service] : services) {
+        const auto reserve = [decay](double& peak, std::int64_t used, std::int64_t demand, std::int64_t capacity) {
+            peak = std::max(peak * decay, static_cast<double>(used) + static_cast<double>(demand));
+            const auto reserved = std::min(peak - static_cast<double>(used), maxReservedShare * static_cast<double>(capacity));
+            return std::max<std::int64_t>(0, std::llround(reserved));
+        };
         auto& peak = m_urgentPeak[name];
-        const auto used = static_cast<double>(m_urgentCpuMilli[name]);
-        peak = std::max(peak * decay, used + urgentDemand[name]);
-        const auto reserved = std::min(peak - used, maxReservedShare * static_cast<double>(service.capacity.cpuMilli));
-        service.reservedCpuMilli = std::max<std::int64_t>(0, std::llround(reserved));
+        const auto& used = m_urgentUsage[name];
+        const auto& demand = urgentDemand[name];
+        service.reservedCpuMilli = reserve(peak.cpuMilli, used.cpuMilli, demand.cpuMilli, service.capacity.cpuMilli);
+        service.reservedMemoryMb = reserve(peak.memoryMb, used.memoryMb, demand.memoryMb, service.capacity.memoryMb);
     }
     return services;
 }
--- a/lib/Cell/ReadyStep.h
+++ b/lib/Cell/ReadyStep.h
@@ -18,7 +18,15 @@
     TimePoint deadline;
 
     /// The tasks may use the capacity that is kept free for the queues of the highest priority.
-    bool mayUseReserve() const { return spec->usesIdleRoom || !queue || queue->priority == 0; }
+    bool mayUseReserve() const { return !queue || queue->priority == 0; }
+    /// Returns true if that many tasks leave the reserve of the queues of the highest priority free.
+    bool keepsReserve(const ServiceCapacity& service, std::size_t tasks) const
+    {
+        if (mayUseReserve())
+            return true;
+        const auto left = service.free - spec->needOnVm() * tasks;
+        return spec->usesIdleRoom ? left.memoryMb >= service.reservedMemoryMb : left.cpuMilli >= service.reservedCpuMilli;
+    }
     /// Service on whose VMs the tasks run.
     const std::string& service() const { return queue ? queue->service : job->service; }
 };
--- a/lib/Cell/Reservations.cpp
+++ b/lib/Cell/Reservations.cpp
@@ -57,9 +57,10 @@
         service.isNextRoundWanted = true;
         return;
     }
-    const auto total = ready.spec->need * ready.waitingTasks.size();
+    const auto tasks = ready.waitingTasks.size();
+    const auto total = ready.spec->needOnVm() * tasks;
     const auto reserve = ready.mayUseReserve() ? 0 : service.reservedCpuMilli;
-    if (!isWithinQuota(*ready.job, total) || service.recurring.cpuMilli - total.cpuMilli < reserve)
+    if (!isWithinQuota(*ready.job, ready.spec->need * tasks) || service.recurring.cpuMilli - total.cpuMilli < reserve)
         return;
     auto vms = vmsToReserve(ready, service);
     if (vms.empty())
--- a/lib/Cell/Runs.cpp
+++ b/lib/Cell/Runs.cpp
@@ -12,30 +12,32 @@
     auto& team = m_teamUsage[placement.team];
     if (sign > 0) {
         vm.used += placement.need;
-        team += placement.need;
+        team += placement.teamNeed;
         vm.placements.insert(placement.task);
     } else {
         vm.used -= placement.need;
-        team -= placement.need;
+        team -= placement.teamNeed;
         vm.placements.erase(placement.task);
     }
     if (placement.isLongRunning && sign > 0)
         vm.usedByLongRunning += placement.need;
     else if (placement.isLongRunning)
         vm.usedByLongRunning -= placement.need;
-    if (placement.priority == 0)
-        m_urgentCpuMilli[vm.report.service] += sign * placement.need.cpuMilli;
+    if (placement.priority == 0 && sign > 0)
+        m_urgentUsage[vm.report.service] += placement.need;
+    else if (placement.priority == 0)
+        m_urgentUsage[vm.report.service] -= placement.need;
 }
 
 void CellDesk::moveUrgentUsage(const Vm& vm, const std::string& service)
 {
-    std::int64_t cpuMilli = 0;
+    Room usage;
     for (const auto& task : vm.placements) {
         const auto& placement = m_placements.at(task);
-        cpuMilli += placement.priority == 0 ? placement.need.cpuMilli : 0;
+        usage += placement.priority == 0 ? placement.need : Room();
     }
-    m_urgentCpuMilli[vm.report.service] -= cpuMilli;
-    m_urgentCpuMilli[service] += cpuMilli;
+    m_urgentUsage[vm.report.service] -= usage;
+    m_urgentUsage[service] += usage;
 }
 
 void CellDesk::releasePlacement(const TaskId& task)
--- a/lib/Cell/State.cpp
+++ b/lib/Cell/State.cpp
@@ -271,7 +271,8 @@
                     placement.run = step.tasks.back().run;
                     placement.vm = taskRow.at(4);
                     placement.incarnation = taskRow.at(5);
-                    placement.need = job.spec->steps.at(s).usesIdleRoom ? Room {} : job.spec->steps.at(s).need;
+                    placement.need = job.spec->steps.at(s).needOnVm();
+                    placement.teamNeed = job.spec->steps.at(s).need;
                     placement.team = job.team;
                     placement.isLongRunning = job.spec->steps.at(s).longRunning;
                     placement.isDurable = true;
--- a/tools/cell-model/CellModel.h
+++ b/tools/cell-model/CellModel.h
@@ -23,6 +23,8 @@
     double gangShare = 0;
     double checkpointShare = 0;
     double spreadShare = 0;
+    /// Share of steps that run on idle processor time.
+    double idleRoomShare = 0;
     /// Share of steps that require one of the two kinds of VMs.
     double labelShare = 0;
     /// Share of gangs that need all that the VMs which they may use have when empty.
@@ -151,6 +153,8 @@
 void addKindChanges(ModelSettings& settings);
 /// Adds evacuations of failure domains, beside new owners, crashes and drains.
 void addEvacuations(ModelSettings& settings);
+/// Adds many tasks that run on idle processor time and need much memory, beside new owners.
+void addIdleRoom(ModelSettings& settings);
 /// Adds a long-running task on each VM, and gangs that do not fit beside these.
 void addLongRunning(ModelSettings& settings);
 /// Adds quick changes of the owner, each with the restart of a daemon, and many gangs that request advice.
--- a/tools/cell-model/Deployments.cpp
+++ b/tools/cell-model/Deployments.cpp
@@ -227,6 +227,16 @@
     settings.faults.failedRuns = 0.03;
 }
 
+void addIdleRoom(ModelSettings& settings)
+{
+    settings.faults.secondsBetweenOwners = 8;
+    settings.teamLimit = 0.4;
+    auto& medium = settings.queues.at(1);
+    medium.idleRoomShare = 0.8;
+    medium.memoryMb = static_cast<double>(settings.vmCapacity.memoryMb) / 4;
+    settings.longestTail = Seconds(240);
+}
+
 void addLateCommands(ModelSettings& settings)
 {
     settings.faults.lateOrders = 0.03;
--- a/tools/cell-model/Judge.cpp
+++ b/tools/cell-model/Judge.cpp
@@ -17,7 +17,7 @@
         broken("start of " + name + ", whose submissions were all refused");
     const auto& step = job->second.spec.steps.at(order.task.step);
     const auto& task = job->second.tasks.at(order.task);
-    if (!(vm.used() + step.need).fitsIn(vm.report.capacity))
+    if (!(vm.used() + takenOfVm(step)).fitsIn(vm.report.capacity))
         broken("start of " + name + " overcommits " + vm.report.id);
     // A command does not name the incarnation that it is meant for.
     if (isIncarnationSeen && !hasLabel(vm.report, step.requiredLabel))
@@ -50,11 +50,11 @@
     for (const auto& [id, other] : m_vms) {
         for (const auto& [running, run] : other.running) {
             if (other.isUp && m_jobs.at(running.job).team == job->second.team)
-                team += run.need;
+                team += run.teamNeed;
         }
     }
     const auto limit = m_policy->findTeam(job->second.team)->upperLimit;
-    if (team.cpuMilli > limit.cpuMilli)
+    if (!team.fitsIn(limit))
         broken("start of " + name + " takes " + job->second.team + " over its limit");
 }
 
@@ -100,7 +100,8 @@
         if (!isReachable(vm) || vm.report.draining || m_evacuatedSince.contains(vm.report.failureDomain) || !isAllowed(stepText(step), name, job.queue->allowedShare) || !hasLabel(vm.report, spec.requiredLabel))
             continue;
         const auto free = vm.report.capacity - vm.used();
-        const auto here = std::min(free.cpuMilli / spec.need.cpuMilli, free.memoryMb / spec.need.memoryMb);
+        const auto byMemory = free.memoryMb / spec.need.memoryMb;
+        const auto here = spec.usesIdleRoom ? byMemory : std::min(free.cpuMilli / spec.need.cpuMilli, byMemory);
         slots += static_cast<std::size_t>(spec.maxTasksPerVm > 0 ? std::min<std::int64_t>(here, spec.maxTasksPerVm) : here);
     }
     const auto open = std::count_if(job.tasks.begin(), job.tasks.end(), [&](const auto& task) { return task.first.step == step.step && !task.second.isDone; });
@@ -130,7 +131,7 @@
         }
         for (const auto& [task, run] : vm.running) {
             running.insert(task.job);
-            teamUse[m_jobs.at(task.job).team] += run.need;
+            teamUse[m_jobs.at(task.job).team] += run.teamNeed;
         }
     }
     const auto isHalfFree = [](const Room& taken, const Room& most) { return 2 * taken.cpuMilli < most.cpuMilli && 2 * taken.memoryMb < most.memoryMb; };
--- a/tools/cell-model/Load.cpp
+++ b/tools/cell-model/Load.cpp
@@ -64,6 +64,7 @@
             step.tasks = std::max(1U, slots);
             job.hasOversizedGang = true;
         }
+        step.usesIdleRoom = queue.idleRoomShare > 0 && dice.uniform() < queue.idleRoomShare;
         step.checkpointing = dice.uniform() < queue.checkpointShare;
         step.maxTasksPerVm = dice.uniform() < queue.spreadShare && step.tasks < settings.vms / 6 ? 1 : 0;
         if (queue.isLongRunning) {
--- a/tools/cell-model/ModelVms.cpp
+++ b/tools/cell-model/ModelVms.cpp
@@ -38,7 +38,8 @@
     }
     ++vm.life;
     const auto runMs = job.tasks.at(order.task).runMs * vm.speed;
-    vm.running[order.task] = { order.run, job.spec.steps.at(order.task.step).need, m_clock.now() + Milliseconds(std::llround(runMs)), vm.life, order.checkpoint };
+    const auto& spec = job.spec.steps.at(order.task.step);
+    vm.running[order.task] = { order.run, takenOfVm(spec), spec.need, m_clock.now() + Milliseconds(std::llround(runMs)), vm.life, order.checkpoint };
     if (isGang(order.task))
         joinGang(vm, order.task, order.run, runMs);
     else
--- a/tools/cell-model/World.h
+++ b/tools/cell-model/World.h
@@ -54,7 +54,9 @@
 /// One run on a model VM.
 struct ModelRun {
     std::uint32_t run = 0;
+    /// Resources that it takes of its VM, and of its team's limit.
     Room need;
+    Room teamNeed;
     TimePoint endsAt;
     std::uint64_t life = 0;
     std::string checkpoint;
@@ -121,6 +123,15 @@
     TimePoint serviceBusyUntil;
 };
 
+/// Resources that a task of the step takes of a VM, by the platform's pages.
+inline Room takenOfVm(const StepSpec& spec)
+{
+    auto taken = spec.need;
+    if (spec.usesIdleRoom)
+        taken.cpuMilli = 0;
+    return taken;
+}
+
 /// What the model knows of a task that the desk does not.
 struct ModelTask {
     double runMs = 0;
--- a/tools/heatherchute-lab/main.cpp
+++ b/tools/heatherchute-lab/main.cpp
@@ -59,6 +59,7 @@
     add("owner-changes", "quick changes of the owner, each with the restart of a daemon, and many gangs");
     add("long-running", "long-running tasks on all VMs, and gangs that do not fit beside these");
     add("held-links", "VMs that start anew as another kind behind a link that holds up commands and delivers them later");
+    add("idle-room", "many tasks that run on idle processor time and need much memory, beside new owners");
     add("late-commands", "VMs that execute commands late, also after a restart");
     options::variables_map values;
     try {
@@ -97,6 +98,8 @@
                 addLongRunning(settings);
             if (values.count("held-links"))
                 addHeldLinks(settings);
+            if (values.count("idle-room"))
+                addIdleRoom(settings);
             if (values.count("late-commands"))
                 addLateCommands(settings);
             const auto result = playModel(settings);
--- a/unittests/Cell/CellModelTest.cpp
+++ b/unittests/Cell/CellModelTest.cpp
@@ -152,6 +152,13 @@
         checkInvariants("workshop", seed, addKindChanges);
 }
 
+// Guards against tasks on idle processor time whose memory, or whose part of their team's limit, is not counted.
+TEST_CASE("Tasks that run on idle processor time overcommit no VM and exceed no limit, whoever owns the cell")
+{
+    for (const std::uint64_t seed : { 1, 2, 3 })
+        checkInvariants("workshop", seed, addIdleRoom);
+}
+
 // Guards against commands that a link holds up and delivers to the next incarnation of their VM.
 TEST_CASE("Commands that a link holds up do not reach a later incarnation of which the registry has told")
 {
