Model: one function gives the owner the result of a heartbeat; DemandPeak beside the other state

Five lambdas of the model that differed only in the delay are one function. DemandPeak stood between the members of CellDesk.

--- a/include/heatherchute/Cell.h
+++ b/include/heatherchute/Cell.h
@@ -447,11 +447,7 @@
     std::int64_t m_capacityCpuMilli = 0;
     /// Reservation periods by service.
     std::map<std::string, ReservationPeriod> m_reservationPeriods;
-    /// Decaying peaks of the demand of a service's highest-priority queues.
-    struct DemandPeak {
-        double cpuMilli = 0;
-        double memoryMb = 0;
-    };
+    /// Decaying peaks of the demand of each service's highest-priority queues.
     std::map<std::string, DemandPeak> m_urgentPeak;
     TimePoint m_urgentPeakAt;
     bool m_isOwnershipConfirmed = true;
--- a/include/heatherchute/CellState.h
+++ b/include/heatherchute/CellState.h
@@ -232,6 +232,12 @@
     unsigned round = 0;
 };
 
+/// Decaying peak of a demand, in the units of Room.
+struct DemandPeak {
+    double cpuMilli = 0;
+    double memoryMb = 0;
+};
+
 /// Capacity of one service's VMs during a placement pass.
 struct ServiceCapacity {
     /// VMs that accept new runs now.
--- a/tools/cell-model/ModelVms.cpp
+++ b/tools/cell-model/ModelVms.cpp
@@ -331,6 +331,11 @@
         extendLease(vm, order.deadlineMs);
 }
 
+void World::answerHeartbeat(std::uint64_t owner, Milliseconds delay, const BeatAnswer& answer)
+{
+    toOwner(owner, delay, [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+}
+
 void World::beatLate(std::uint64_t owner, std::uint64_t fence, const BeatVm& order)
 {
     const auto sentTo = m_vms.at(order.vm).bornAt;
@@ -341,7 +346,7 @@
             executeHeartbeat(vm, fence, order);
     });
     const BeatAnswer answer { order.vm, m_clock.now(), false, std::nullopt };
-    toOwner(owner, order.wait + orderTimeout, [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+    answerHeartbeat(owner, order.wait + orderTimeout, answer);
 }
 
 void World::beat(std::uint64_t owner, std::uint64_t fence, const BeatVm& order)
@@ -352,12 +357,12 @@
     const auto execute = [this, owner, fence, order, sentAt](ModelVm& vm) {
         BeatAnswer answer { order.vm, sentAt, false, std::nullopt };
         if (!isReachable(vm)) {
-            toOwner(owner, orderTimeout, [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+            answerHeartbeat(owner, orderTimeout, answer);
             return;
         }
         if (fence < vm.fence) {
             answer.fenced = true;
-            toOwner(owner, wire(), [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+            answerHeartbeat(owner, wire(), answer);
             return;
         }
         executeHeartbeat(vm, fence, order);
@@ -366,7 +371,7 @@
             if (std::exchange(*isAnswered, true))
                 return;
             if (!isReachable(vm) || vm.bornAt != bornAt) {
-                toOwner(owner, orderTimeout, [this, answer] { m_desk->onBeat(answer, m_clock.deskTime()); });
+                answerHeartbeat(owner, orderTimeout, answer);
                 return;
             }
             VmState state { vm.clockMs(m_clock.now()), vm.report.incarnation, {}, vm.finished };
@@ -386,7 +391,7 @@
         m_clock.after(order.wait, reply);
     };
     const auto giveUp = [this, owner, order, sentAt] {
-        toOwner(owner, Milliseconds(0), [this, order, sentAt] { m_desk->onBeat({ order.vm, sentAt, false, std::nullopt }, m_clock.deskTime()); });
+        answerHeartbeat(owner, Milliseconds(0), { order.vm, sentAt, false, std::nullopt });
     };
     deliver(order.vm, wire(), { sentAt + order.wait + orderTimeout, execute, giveUp });
 }
--- a/tools/cell-model/World.h
+++ b/tools/cell-model/World.h
@@ -235,6 +235,8 @@
     /// Returns true if the owner has had the time to withdraw commands for the VM's earlier incarnation.
     bool isKnownTo(std::uint64_t owner, const ModelVm& vm) const;
     void executeHeartbeat(ModelVm& vm, std::uint64_t fence, const BeatVm& order);
+    /// Gives the owner the result of a heartbeat after `delay`.
+    void answerHeartbeat(std::uint64_t owner, Milliseconds delay, const BeatAnswer& answer);
     /// Executes a heartbeat late and gives the owner no response.
     void beatLate(std::uint64_t owner, std::uint64_t fence, const BeatVm& order);
     void checkStart(const ModelVm& vm, const StartRun& order, bool isIncarnationSeen);
