Soak: pass over job ids that the advice service allows on too few VMs

Cause: the advice stand-in allows each step a share of the VMs that is drawn from the job's id. Of the six VMs of this scenario it allows that id a single one, which has room for four of the largest tasks; a gang of six never fits. The soak's comment says that no job is hopeless. Which job gets the id varies between runs, as calls depend on time.

Change: ids whose steps may run on fewer than two VMs are passed over. Every accepted job still has to finish in the same time.

--- a/test/cell/soak.py
+++ b/test/cell/soak.py
@@ -24,6 +24,7 @@
 from draw import draw_scenario, parse_scenario
 from loopback import Channel, Link
 from promises import CONFIG_S, NEAR_S, Job, Promises
+from vms import is_allowed
 
 # After the load and the last fault all accepted work must be done within this time. A lease of ten
 # seconds, a successor's load and a few tries take half of it.
@@ -33,6 +34,9 @@
 ROTATION_S = 4.0
 # Times half a second for which a check of a scenario is repeated until it holds.
 CHECK_TRIES = 20
+MAX_STEPS = 2
+# A VM has room for four of the largest tasks, and the largest gang has six.
+VMS_FOR_LARGEST_GANG = 2
 PLANNED = {"term", "key", "route", "hup", "drain", "evacuate"}
 # Faults after which a daemon may be out of touch with the store, and so with the operator's requests.
 OF_STORE = {"store", "cut-store", "deaf-store", "cut-off", "silence", "reset", "thin-link"}
@@ -71,13 +75,21 @@
         names = [name for name, is_ready in self.ready.items() if is_ready] or list(self.ready)
         return self.cell.daemons[self.random.choice(names)]
 
+    def next_id(self):
+        """Passes over ids whose steps the advice service allows on too few VMs for the largest gang."""
+        needed = min(VMS_FOR_LARGEST_GANG, len(self.cell.vms))
+        while True:
+            self.next += 1
+            job_id = f"{self.prefix}{self.next:08x}"
+            if all(sum(is_allowed(f"{job_id}.0.{step}", vm) for vm in self.cell.vms) >= needed for step in range(MAX_STEPS)):
+                return job_id
+
     def make_job(self):
-        self.next += 1
-        job_id = f"{self.prefix}{self.next:08x}"
+        job_id = self.next_id()
         queue = self.random.choices(["urgent", "medium", "large"], [6, 3, 1])[0]
         team = self.random.choice(list(deployment.TEAMS))
         steps = []
-        for number in range(2 if queue == "medium" else 1):
+        for number in range(MAX_STEPS if queue == "medium" else 1):
             gang = queue == "large" or (queue == "urgent" and self.random.random() < 0.2)
             count = self.random.randint(2, 6 if queue == "large" else 4)
             steps.append({
